--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Modules of the workspace that hold product code.
+MODULES := . cmd/guavabench cmd/guavactl cmd/guavademo cmd/guavaplatform cmd/guavascaled
+
+.PHONY: build test fmt fmt-check lint spec demo bench
+
+build:
+	@mkdir -p bin
+	@for m in $(filter-out .,$(MODULES)); do go build -o bin/ ./$$m || exit 1; done
+
+test:
+	@for m in $(MODULES); do (cd $$m && go test -race -timeout 300s ./...) || exit 1; done
+
+fmt:
+	cd tools && go tool gofumpt -w $(addprefix ../,$(filter-out .,$(MODULES))) ../*.go ../guava*
+
+fmt-check:
+	@out=$$(cd tools && go tool gofumpt -l ..); \
+	if [ -n "$$out" ]; then echo "files that gofumpt would change:"; echo "$$out"; exit 1; fi
+
+lint:
+	@mkdir -p bin
+	@cd tools && go build -o ../bin/ honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive
+	@for m in $(MODULES); do (cd $$m && go vet ./... && $(CURDIR)/bin/staticcheck ./... && $(CURDIR)/bin/revive -config $(CURDIR)/revive.toml -set_exit_status ./...) || exit 1; done
+
+spec:
+	spec/check
+
+demo: build
+	bin/guavademo
+
+bench: build
+	bin/guavabench
--- /dev/null
+++ b/cmd/guavabench/main.go
@@ -0,0 +1,4 @@
+// Command guavabench is a program of guavascale.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/guavactl/main.go
@@ -0,0 +1,4 @@
+// Command guavactl is a program of guavascale.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/guavademo/main.go
@@ -0,0 +1,4 @@
+// Command guavademo is a program of guavascale.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/guavaplatform/main.go
@@ -0,0 +1,4 @@
+// Command guavaplatform is a program of guavascale.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/guavascaled/main.go
@@ -0,0 +1,4 @@
+// Command guavascaled is a program of guavascale.
+package main
+
+func main() {}
