guavashard, guavaplace: add the task state machine and placement

Cause: the scheduler needs its core, tasks of a shard with write-ahead starts, as a state machine without I/O. Ruled out: orders kept as a queue beside the state, since a lost message would need a second mechanism; orders are derived from the committed state with each message. Not measured yet.

--- /dev/null
+++ b/guavashard/report.go
@@ -0,0 +1,188 @@
+package guavashard
+
+import (
+	"errors"
+	"time"
+
+	"guavascale.example"
+)
+
+// HandleReport takes a worker's answer to a message that was sent at the given
+// time, or the error of the call.
+func (s *Shard) HandleReport(now, sentAt time.Time, id guavascale.WorkerID, r guavascale.Report, err error) Effects {
+	s.now = now
+	w := s.workers[id]
+	if w == nil {
+		return Effects{}
+	}
+	w.underWay = false
+	var rejected *guavascale.OrderError
+	if errors.As(err, &rejected) {
+		r, err = rejected.Report, nil
+	}
+	if err != nil || r.Incarnation == "" || r.Epoch > s.Epoch {
+		// A higher epoch means that this owner was replaced; its lease tells
+		// it soon.
+		return s.take()
+	}
+	if w.incarnation != r.Incarnation {
+		w.incarnation = r.Incarnation
+		w.clockMs = 0
+		w.forget, w.orphans = nil, nil
+	}
+	if r.ClockMs >= w.clockMs {
+		w.clockMs, w.clockAt = r.ClockMs, now
+	}
+	w.answered = now
+	if r.Epoch == s.Epoch {
+		w.fenced = true
+	}
+	s.readAttempts(w, &r, sentAt)
+	return s.take()
+}
+
+func (s *Shard) readAttempts(w *workerState, r *guavascale.Report, sentAt time.Time) {
+	w.reports = make(map[guavascale.AttemptID]guavascale.AttemptReport, len(r.Attempts))
+	for _, a := range r.Attempts {
+		w.reports[a.Attempt] = a
+	}
+	known := make(map[guavascale.AttemptID]bool, len(w.tasks))
+	for _, e := range w.tasks {
+		attempt := e.task.AttemptID()
+		known[attempt] = true
+		s.readAttempt(w, e, w.reports[attempt], sentAt)
+	}
+	w.forget, w.orphans = w.forget[:0], w.orphans[:0]
+	for _, a := range r.Attempts {
+		if known[a.Attempt] {
+			continue
+		}
+		if a.State.Ended() {
+			w.forget = append(w.forget, a.Attempt)
+		} else {
+			s.Orphans++
+			w.orphans = append(w.orphans, a.Attempt)
+		}
+	}
+}
+
+// readAttempt compares a task that the log places on the worker with the
+// worker's report of its attempt; a zero report means that the worker does not
+// know the attempt.
+func (s *Shard) readAttempt(w *workerState, e *entry, a guavascale.AttemptReport, sentAt time.Time) {
+	if e.next != nil {
+		return
+	}
+	t := e.task
+	if t.Incarnation != w.incarnation {
+		// The worker was restarted: all attempts of the earlier incarnation
+		// ended with it.
+		s.endAttempt(e, "worker restarted")
+		return
+	}
+	switch a.State {
+	case guavascale.AttemptRunning, guavascale.AttemptStopping:
+		e.seen = true
+	case guavascale.AttemptDone:
+		s.noteSuccess(w, &t)
+		s.Completions++
+		s.endTask(e, guavascale.TaskDone, "")
+	case guavascale.AttemptFailed:
+		s.Failures++
+		s.failAttempt(w, e, a.Reason)
+	case guavascale.AttemptStopped:
+		s.stopped(e, a)
+	case guavascale.AttemptExpired:
+		s.Expirations++
+		e.task.Checkpoint = newest(a.Checkpoint, t.Checkpoint)
+		s.endAttempt(e, "lease expired")
+	case guavascale.AttemptRejected:
+		s.endAttempt(e, "rejected by worker: "+a.Reason)
+	default:
+		s.readUnknown(w, e, sentAt)
+	}
+}
+
+// readUnknown handles an attempt that the worker does not know. It ended
+// without having started once no start order can arrive any more: the worker
+// rejects those of earlier owners, and those of this owner are dead.
+func (s *Shard) readUnknown(w *workerState, e *entry, sentAt time.Time) {
+	if !w.fenced || e.seen {
+		return
+	}
+	if e.task.State == guavascale.TaskStarting && s.mayStart(w) {
+		return
+	}
+	if e.sent && !sentAt.After(e.sentUntil) {
+		return
+	}
+	s.endAttempt(e, "start was not delivered")
+}
+
+func newest(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+// stopped handles an attempt that ended because of a stop order.
+func (s *Shard) stopped(e *entry, a guavascale.AttemptReport) {
+	e.task.Checkpoint = newest(a.Checkpoint, e.task.Checkpoint)
+	s.endAttempt(e, e.task.Reason)
+}
+
+// endAttempt proposes that the current attempt is over and the task is not.
+func (s *Shard) endAttempt(e *entry, reason string) {
+	t := e.task
+	switch {
+	case s.cancelled(&t):
+		s.endTask(e, guavascale.TaskCancelled, t.Reason)
+		return
+	case t.Class == guavascale.ClassService && t.State == guavascale.TaskStopping:
+		s.endTask(e, guavascale.TaskDone, reason)
+		return
+	case t.State == guavascale.TaskStopping || t.Checkpoint != "":
+		t.State = guavascale.TaskSuspended
+	default:
+		t.State = guavascale.TaskPending
+	}
+	t.Worker, t.Incarnation, t.Reason = "", "", reason
+	s.proposeTask(t, t.Urgent)
+}
+
+func (s *Shard) failAttempt(w *workerState, e *entry, reason string) {
+	if s.noteFailure(w, &e.task) {
+		e.task.Failures++
+	}
+	if e.task.Failures >= maxTaskFailures && e.task.Class == guavascale.ClassBatch {
+		s.endTask(e, guavascale.TaskFailed, reason)
+		return
+	}
+	e.notBefore = s.now.Add(retryDelay(e.task.Failures))
+	s.endAttempt(e, "attempt failed: "+reason)
+}
+
+// retryDelay returns the pause before the next attempt after n failures.
+func retryDelay(n int) time.Duration {
+	return min(time.Second<<min(n, 6), time.Minute)
+}
+
+// expireLeases ends the attempts of silent workers whose leases are over.
+func (s *Shard) expireLeases() {
+	for _, w := range s.workers {
+		if s.responsive(w) {
+			continue
+		}
+		for _, e := range w.tasks {
+			switch {
+			case e.next != nil:
+			case !e.sent && e.task.State == guavascale.TaskStarting:
+				s.endAttempt(e, "worker fell silent before the start")
+			case e.sent && s.now.After(e.leaseUntil):
+				s.Expirations++
+				s.endAttempt(e, "lease expired at a silent worker")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/guavashard/schedule.go
@@ -0,0 +1,274 @@
+package guavashard
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"guavascale.example"
+	"guavascale.example/guavaplace"
+)
+
+const (
+	// handOverAfter is how long a task waits in a shard without room before
+	// it goes to another shard. It doubles with each hand-over, so that a
+	// task does not travel forever in a full fleet.
+	handOverAfter    = 2 * time.Second
+	maxHandOverDelay = 2 * time.Minute
+	// maxPlacements bounds the placements of one Step, which takes about
+	// 1 µs for each worker and task.
+	maxPlacements = 256
+	// maxRefusals bounds the tasks of one Step that found no room.
+	maxRefusals = 32
+)
+
+// enqueue adds a task to the queue if it waits for a worker.
+func (s *Shard) enqueue(e *entry) {
+	if e.queued || !waits(&e.task) {
+		return
+	}
+	e.queued = true
+	s.waiting = append(s.waiting, e)
+}
+
+func waits(t *guavascale.Task) bool {
+	return t.State == guavascale.TaskPending || t.State == guavascale.TaskSuspended
+}
+
+// placeWaiting proposes starts for waiting tasks: urgent ones first, then
+// service instances, then the others in the order of arrival.
+func (s *Shard) placeWaiting() {
+	s.compactQueue()
+	if len(s.waiting) == 0 {
+		return
+	}
+	slices.SortStableFunc(s.waiting, func(a, b *entry) int { return rank(&a.task) - rank(&b.task) })
+	mayStart := s.now.Before(s.view.StartUntil) && !s.view.Config.ZonesOut[s.Zone]
+	placed, refused := 0, 0
+	for _, e := range s.waiting {
+		if placed >= maxPlacements || refused >= maxRefusals {
+			return
+		}
+		if e.next != nil || s.now.Before(e.notBefore) || s.cancelled(&e.task) {
+			continue
+		}
+		if mayStart && s.placeTask(e) {
+			placed++
+			continue
+		}
+		refused++
+		s.considerHandOver(e, mayStart)
+	}
+}
+
+func (s *Shard) compactQueue() {
+	kept := s.waiting[:0]
+	for _, e := range s.waiting {
+		if s.tasks[e.task.ID] == e && waits(&e.task) {
+			kept = append(kept, e)
+			continue
+		}
+		e.queued = false
+	}
+	clear(s.waiting[len(kept):])
+	s.waiting = kept
+}
+
+func rank(t *guavascale.Task) int {
+	switch {
+	case t.Urgent:
+		return 0
+	case t.Class == guavascale.ClassService:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// placeTask proposes a start of the task and reports whether it did.
+func (s *Shard) placeTask(e *entry) bool {
+	if reason := s.overQuota(&e.task); reason != "" {
+		e.refusal = reason
+		return false
+	}
+	i, refusal := guavaplace.Choose(&e.task, s.describeRooms(&e.task), s.policy())
+	if i < 0 {
+		e.refusal = string(refusal)
+		return false
+	}
+	if !e.task.Urgent && !s.starts.take(s.now, s.view.Preset.StartsPerSecond) {
+		e.refusal = "start rate of the preset reached"
+		return false
+	}
+	w := s.roomIDs[i]
+	t := e.task
+	t.State = guavascale.TaskStarting
+	t.Attempt++
+	t.Worker, t.Incarnation = w.worker.ID, w.incarnation
+	t.LeaseSeconds = s.leaseSeconds(&t)
+	t.Reason = ""
+	e.refusal = ""
+	s.Starts++
+	s.proposeTask(t, t.Urgent)
+	return true
+}
+
+func (s *Shard) leaseSeconds(t *guavascale.Task) float64 {
+	if t.Class == guavascale.ClassService {
+		return s.view.Preset.ServiceLeaseSeconds
+	}
+	return s.view.Preset.BatchLeaseSeconds
+}
+
+func (s *Shard) policy() guavaplace.Policy {
+	p := &s.view.Preset
+	return guavaplace.Policy{
+		LatencyWeight: p.LatencyWeight, BatchWeight: p.BatchWeight, MaxBatchShare: p.MaxBatchShare,
+	}
+}
+
+// describeRooms fills s.rooms for one task; s.roomIDs has the workers in the
+// same order.
+func (s *Shard) describeRooms(t *guavascale.Task) []guavaplace.Room {
+	s.rooms, s.roomIDs = s.rooms[:0], s.roomIDs[:0]
+	for i := range s.view.Workers {
+		w := s.workers[s.view.Workers[i].ID]
+		if w == nil {
+			continue
+		}
+		r := guavaplace.Room{
+			Worker: w.worker.ID, Capacity: w.worker.Capacity,
+			Used: w.used, BatchUsed: w.batch, Instances: w.instances, Closed: s.closed(w),
+		}
+		if t.Class == guavascale.ClassService {
+			r.SameService = w.countService(t.Service)
+		}
+		if s.view.Interference != nil && !r.Closed {
+			r.Interference = s.view.Interference(t, w.taskList())
+		}
+		s.rooms = append(s.rooms, r)
+		s.roomIDs = append(s.roomIDs, w)
+	}
+	return s.rooms
+}
+
+func (w *workerState) countService(name string) int {
+	n := 0
+	for _, e := range w.tasks {
+		if e.task.Service == name {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *workerState) taskList() []*guavascale.Task {
+	list := make([]*guavascale.Task, 0, len(w.tasks))
+	for _, e := range w.tasks {
+		list = append(list, &e.task)
+	}
+	return list
+}
+
+// overQuota returns a reason when the start would exceed the team's quota. The
+// usage in other shards is as old as their summaries, so a team may exceed its
+// quota for a few seconds by what other shards started meanwhile.
+func (s *Shard) overQuota(t *guavascale.Task) string {
+	quota, ok := s.view.Config.Quotas[t.Team]
+	if !ok || t.Class != guavascale.ClassBatch {
+		return ""
+	}
+	if !quota.Fits(s.usage[t.Team].Add(s.remote[t.Team]).Add(t.Size)) {
+		return "quota of team " + t.Team + " reached"
+	}
+	return ""
+}
+
+func (s *Shard) updateQuotas() {
+	clear(s.remote)
+	for i := range s.view.Others {
+		o := &s.view.Others[i]
+		if o.Partition == s.Name {
+			continue
+		}
+		for team, used := range o.TeamUse {
+			s.remote[team] = s.remote[team].Add(used)
+		}
+	}
+}
+
+// considerHandOver moves a task that found no room to a shard that has some.
+func (s *Shard) considerHandOver(e *entry, mayStart bool) {
+	t := &e.task
+	if t.Class != guavascale.ClassBatch {
+		return
+	}
+	if !s.canEverRun(t) {
+		e.refusal = "larger than any worker of the fleet"
+		return
+	}
+	delay := min(handOverAfter<<min(t.Hops, 6), maxHandOverDelay)
+	zoneOut := s.view.Config.ZonesOut[s.Zone]
+	tooLarge := e.refusal == string(guavaplace.RefusalTooLarge)
+	if !zoneOut && !tooLarge && s.now.Sub(e.since) < delay {
+		return
+	}
+	if !mayStart && !zoneOut {
+		return
+	}
+	if s.overQuota(t) != "" || !s.now.Before(s.view.ActUntil) {
+		return
+	}
+	to := s.chooseShard(t)
+	if to == "" {
+		return
+	}
+	s.handOver(e, to)
+}
+
+func (s *Shard) canEverRun(t *guavascale.Task) bool {
+	for _, size := range s.view.Largest {
+		if size.Fits(t.Size) {
+			return true
+		}
+	}
+	return len(s.view.Largest) == 0
+}
+
+// chooseShard returns the better of two random shards with room for the task,
+// or "".
+func (s *Shard) chooseShard(t *guavascale.Task) guavascale.Partition {
+	var candidates []*guavascale.PartitionSummary
+	for i := range s.view.Others {
+		o := &s.view.Others[i]
+		if o.Partition == s.Name || s.view.Config.ZonesOut[o.Zone] || !o.Free.Fits(t.Size) {
+			continue
+		}
+		candidates = append(candidates, o)
+	}
+	if len(candidates) == 0 {
+		return ""
+	}
+	a := candidates[s.view.Rand.IntN(len(candidates))]
+	b := candidates[s.view.Rand.IntN(len(candidates))]
+	if b.Total.MilliCores > a.Total.MilliCores {
+		a = b
+	}
+	return a.Partition
+}
+
+// handOver proposes to move a task: one commit ends it here and puts it into
+// the other shard's inbox.
+func (s *Shard) handOver(e *entry, to guavascale.Partition) {
+	moved := e.task
+	moved.Hops++
+	moved.Reason = ""
+	left := moved
+	left.State, left.MovedTo = guavascale.TaskHandedOver, to
+	value, _ := json.Marshal(guavascale.InboxItem{Task: &moved})
+	s.propose(Append{
+		Records: []Record{{Task: &left}},
+		Writes:  []guavascale.Write{{Key: InboxKey(to, string(moved.ID)), Value: value}},
+		Urgent:  moved.Urgent,
+	})
+}
--- /dev/null
+++ b/guavashard/summary.go
@@ -0,0 +1,113 @@
+package guavashard
+
+import (
+	"cmp"
+	"slices"
+
+	"guavascale.example"
+)
+
+// Summary describes the shard to other daemons and to the gateway.
+func (s *Shard) Summary() guavascale.PartitionSummary {
+	p := guavascale.PartitionSummary{
+		Partition: s.Name, Epoch: s.Epoch, Zone: s.Zone, Pending: len(s.waiting),
+		TeamUse: make(map[string]guavascale.Resources),
+	}
+	for _, w := range s.workers {
+		if !s.responsive(w) || w.worker.Leaving {
+			continue
+		}
+		p.Capacity = p.Capacity.Add(w.worker.Capacity)
+		if s.closed(w) {
+			continue
+		}
+		free := w.worker.Capacity.Sub(w.used)
+		p.Total = p.Total.Add(free)
+		if free.MilliCores > p.Free.MilliCores {
+			p.Free = free
+		}
+	}
+	for team, used := range s.usage {
+		if !used.IsZero() {
+			p.TeamUse[team] = used
+		}
+	}
+	p.Endpoints = s.endpoints()
+	return p
+}
+
+func (s *Shard) endpoints() []guavascale.Endpoint {
+	var list []guavascale.Endpoint
+	for _, e := range s.tasks {
+		t := &e.task
+		if t.Class != guavascale.ClassService || !t.State.HoldsWorker() || !e.seen {
+			continue
+		}
+		w := s.worker(t.Worker)
+		list = append(list, guavascale.Endpoint{
+			Service: t.Service, Task: t.ID, Worker: t.Worker, Zone: s.Zone,
+			Address: w.worker.EndpointAddress, Slots: w.worker.Slots, Connections: w.worker.Connections,
+			Leaving: s.leaving(e) || w.worker.Leaving,
+		})
+	}
+	slices.SortFunc(list, func(a, b guavascale.Endpoint) int { return cmp.Compare(a.Task, b.Task) })
+	return list
+}
+
+// Tasks returns the tasks that have not been handed over, with their reported
+// state, in the order of their IDs.
+func (s *Shard) Tasks() []guavascale.Task {
+	list := make([]guavascale.Task, 0, len(s.tasks))
+	for _, e := range s.tasks {
+		if e.task.State == guavascale.TaskHandedOver {
+			continue
+		}
+		list = append(list, s.display(e))
+	}
+	slices.SortFunc(list, func(a, b guavascale.Task) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+func (s *Shard) display(e *entry) guavascale.Task {
+	t := e.task
+	switch {
+	case t.State == guavascale.TaskStarting && e.seen:
+		t.State = guavascale.TaskRunning
+	case waits(&t) && e.refusal != "":
+		t.Reason = e.refusal
+		if s.view != nil && !s.canEverRun(&t) {
+			t.State = guavascale.TaskUnplaceable
+		}
+	}
+	return t
+}
+
+// Jobs returns the unfinished jobs whose home is this shard.
+func (s *Shard) Jobs() []guavascale.JobStatus {
+	list := make([]guavascale.JobStatus, 0, len(s.jobs))
+	for _, j := range s.jobs {
+		list = append(list, j.status())
+	}
+	slices.SortFunc(list, func(a, b guavascale.JobStatus) int { return cmp.Compare(a.Job.ID, b.Job.ID) })
+	return list
+}
+
+// Usage is one measurement of a running task, as its worker reported it.
+type Usage struct {
+	Task   guavascale.Task
+	Worker guavascale.WorkerID
+	Report guavascale.AttemptReport
+}
+
+// Usages returns the latest measurements of all running tasks.
+func (s *Shard) Usages() []Usage {
+	var list []Usage
+	for _, w := range s.workers {
+		for _, e := range w.tasks {
+			if a, ok := w.reports[e.task.AttemptID()]; ok && e.seen {
+				list = append(list, Usage{Task: e.task, Worker: w.worker.ID, Report: a})
+			}
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/guavashard/worker.go
@@ -0,0 +1,134 @@
+package guavashard
+
+import (
+	"time"
+
+	"guavascale.example"
+)
+
+type (
+	// workerState is what the owner knows of one worker of the shard.
+	workerState struct {
+		worker guavascale.Worker
+		// listed is set while the worker is on the host list.
+		listed      bool
+		incarnation string
+		// clockMs is the worker's clock of the latest report, which was
+		// received at clockAt. At any later local time t the worker's clock is
+		// at least clockMs plus t less clockAt.
+		clockMs int64
+		clockAt time.Time
+		// fenced is set once the worker answered at this epoch; it accepts no
+		// orders of earlier owners from then on.
+		fenced   bool
+		answered time.Time
+		sentAt   time.Time
+		underWay bool
+		tasks    map[guavascale.TaskID]*entry
+		used     guavascale.Resources
+		batch    guavascale.Resources
+		// instances counts service instances.
+		instances int
+		reports   map[guavascale.AttemptID]guavascale.AttemptReport
+		// forget holds the ended attempts whose end is in the log.
+		forget []guavascale.AttemptID
+		// orphans holds attempts to stop that the log does not hold.
+		orphans []guavascale.AttemptID
+
+		// failed holds the distinct tasks that failed here since the last
+		// success, with their jobs.
+		failed       map[guavascale.TaskID]string
+		blockedUntil time.Time
+		backoff      time.Duration
+	}
+
+	// bucket is a token bucket. Its zero value is empty and fills from the
+	// first call of take on.
+	bucket struct {
+		tokens float64
+		last   time.Time
+	}
+)
+
+const (
+	// reportInterval is the time between messages to a worker that needs no
+	// orders.
+	reportInterval = time.Second
+	// silence is how long a worker may stay silent before it takes no starts
+	// and its service instances are replaced.
+	silence = 5 * time.Second
+)
+
+func (b *bucket) take(now time.Time, rate float64) bool {
+	burst := max(rate, 1)
+	if b.last.IsZero() {
+		b.tokens = burst
+	} else {
+		b.tokens = min(burst, b.tokens+rate*now.Sub(b.last).Seconds())
+	}
+	b.last = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (s *Shard) worker(id guavascale.WorkerID) *workerState {
+	w := s.workers[id]
+	if w == nil {
+		w = &workerState{
+			worker: guavascale.Worker{ID: id},
+			tasks:  make(map[guavascale.TaskID]*entry),
+			failed: make(map[guavascale.TaskID]string),
+		}
+		s.workers[id] = w
+	}
+	return w
+}
+
+func (w *workerState) add(t *guavascale.Task) {
+	w.used = w.used.Add(t.Size)
+	if t.Class == guavascale.ClassBatch {
+		w.batch = w.batch.Add(t.Size)
+	} else {
+		w.instances++
+	}
+}
+
+func (w *workerState) sub(t *guavascale.Task) {
+	w.used = w.used.Sub(t.Size)
+	if t.Class == guavascale.ClassBatch {
+		w.batch = w.batch.Sub(t.Size)
+	} else {
+		w.instances--
+	}
+}
+
+// updateWorkers takes over the host list. A worker that left the list stays
+// known while it may still run tasks.
+func (s *Shard) updateWorkers() {
+	for _, w := range s.workers {
+		w.listed = false
+	}
+	for _, listed := range s.view.Workers {
+		w := s.worker(listed.ID)
+		w.worker = listed
+		w.listed = true
+	}
+	for id, w := range s.workers {
+		if !w.listed && len(w.tasks) == 0 {
+			delete(s.workers, id)
+		}
+	}
+}
+
+// responsive reports whether the worker answered recently.
+func (s *Shard) responsive(w *workerState) bool {
+	return w.fenced && s.now.Sub(w.answered) < silence
+}
+
+// closed reports whether the worker takes no starts.
+func (s *Shard) closed(w *workerState) bool {
+	return !w.listed || w.worker.Leaving || !s.responsive(w) || s.now.Before(w.blockedUntil)
+}
--- a/request.go
+++ b/request.go
@@ -28,6 +28,9 @@
 	PartitionSummary struct {
 		Partition Partition
 		Epoch     uint64
+		Zone      Zone
+		// Capacity is what the workers hold that answered recently.
+		Capacity Resources
 		// Free is the largest room on a single worker, Total the free
 		// capacity of all workers that accept starts.
 		Free      Resources
--- a/task.go
+++ b/task.go
@@ -46,6 +46,13 @@
 		Incarnation string
 		// Checkpoint is the saved state from which the next attempt resumes.
 		Checkpoint string
+		// LeaseSeconds is the lease of the current attempt, fixed at its start,
+		// so that a new owner knows how long the attempt may still run.
+		LeaseSeconds float64
+		// MovedTo is the shard that a task in state HandedOver went to.
+		MovedTo Partition
+		// Hops counts the hand-overs between shards.
+		Hops int
 		// Failures counts attempts that the task itself failed.
 		Failures int
 		// Evictions counts attempts that were stopped to protect a service
