--- /dev/null
+++ b/guavapeer/client.go
@@ -0,0 +1,161 @@
+package guavapeer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"guavascale.example"
+)
+
+// Client calls peers. Its zero value works. It is safe for concurrent use.
+type Client struct {
+	// Timeout bounds each call; 0 stands for DefaultTimeout.
+	Timeout time.Duration
+
+	mu    sync.Mutex
+	conns map[string]*rpc.Client
+}
+
+// DefaultTimeout is the timeout of a call between daemons.
+const DefaultTimeout = 2 * time.Second
+
+// Exchange sends the own summary and returns the newer ones of the peer.
+func (c *Client) Exchange(ctx context.Context, addr string, self guavascale.Summary, d Digest) ([]guavascale.Summary, error) {
+	var out exchangeOut
+	err := c.call(ctx, addr, methodExchange, exchangeIn{self, d}, &out)
+	return out.Summaries, err
+}
+
+// Config returns the peer's configuration document.
+func (c *Client) Config(ctx context.Context, addr string) (*guavascale.Config, error) {
+	var out configOut
+	err := c.call(ctx, addr, methodConfig, struct{}{}, &out)
+	return out.Config, err
+}
+
+// Work returns the tasks and unfinished jobs of the peer's shards.
+func (c *Client) Work(ctx context.Context, addr string) ([]guavascale.Task, []guavascale.JobStatus, error) {
+	var out workOut
+	err := c.call(ctx, addr, methodWork, struct{}{}, &out)
+	return out.Tasks, out.Jobs, err
+}
+
+// Claim claims a key at the peer that owns its partition.
+func (c *Client) Claim(ctx context.Context, addr, key string) (guavascale.ClaimToken, error) {
+	var out claimOut
+	err := c.call(ctx, addr, methodClaim, claimIn{Key: key}, &out)
+	return out.Token, err
+}
+
+// Finish records the answer of a claimed request at the peer.
+func (c *Client) Finish(ctx context.Context, addr string, t guavascale.ClaimToken, a guavascale.Answer) error {
+	return c.call(ctx, addr, methodFinish, claimIn{Token: t, Answer: a}, &claimOut{})
+}
+
+// Release gives a claim back at the peer.
+func (c *Client) Release(ctx context.Context, addr string, t guavascale.ClaimToken) error {
+	return c.call(ctx, addr, methodRelease, claimIn{Token: t}, &claimOut{})
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, addr)
+	}
+}
+
+func (c *Client) call(ctx context.Context, addr string, m method, in, out any) error {
+	timeout := c.Timeout
+	if timeout <= 0 {
+		timeout = DefaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	body, err := cbor.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", m, err)
+	}
+	data, err := cbor.Marshal(envelope{Method: m, Body: body})
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", m, err)
+	}
+	reply, err := c.send(ctx, addr, data)
+	if err != nil {
+		return &guavascale.UnavailableError{System: "peer " + addr, Op: string(m), MayHaveApplied: true, Cause: err}
+	}
+	var env envelope
+	if err := cbor.Unmarshal(reply, &env); err != nil {
+		return fmt.Errorf("decode answer to %s: %w", m, err)
+	}
+	if env.Error != nil {
+		return env.Error.decode()
+	}
+	return cbor.Unmarshal(env.Body, out)
+}
+
+// send makes one call. The connection of a call that did not end well is
+// closed and never used again.
+func (c *Client) send(ctx context.Context, addr string, data []byte) ([]byte, error) {
+	conn, err := c.connect(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	var reply []byte
+	call := conn.Go(serviceName+".Call", data, &reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		var remote rpc.ServerError
+		if call.Error != nil && !errors.As(call.Error, &remote) {
+			c.drop(addr, conn)
+		}
+		return reply, call.Error
+	case <-ctx.Done():
+		c.drop(addr, conn)
+		return nil, ctx.Err()
+	}
+}
+
+func (c *Client) connect(ctx context.Context, addr string) (*rpc.Client, error) {
+	c.mu.Lock()
+	conn := c.conns[addr]
+	c.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.conns[addr]; other != nil {
+		_ = raw.Close()
+		return other, nil
+	}
+	if c.conns == nil {
+		c.conns = make(map[string]*rpc.Client)
+	}
+	conn = rpc.NewClient(raw)
+	c.conns[addr] = conn
+	return conn, nil
+}
+
+func (c *Client) drop(addr string, conn *rpc.Client) {
+	c.mu.Lock()
+	if c.conns[addr] == conn {
+		delete(c.conns, addr)
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+}
--- /dev/null
+++ b/guavapeer/wire.go
@@ -0,0 +1,112 @@
+package guavapeer
+
+import (
+	"errors"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"guavascale.example"
+)
+
+type (
+	method string
+
+	// envelope is the content of every call and every answer.
+	envelope struct {
+		Method method          `cbor:",omitempty"`
+		Error  *wireError      `cbor:",omitempty"`
+		Body   cbor.RawMessage `cbor:",omitempty"`
+	}
+
+	// wireError carries the typed errors that callers tell apart.
+	wireError struct {
+		Text        string
+		AlreadyRun  *wireAlreadyRun  `cbor:",omitempty"`
+		Lease       *wireLease       `cbor:",omitempty"`
+		Unavailable *wireUnavailable `cbor:",omitempty"`
+	}
+
+	wireAlreadyRun struct {
+		Key    string
+		Answer *guavascale.Answer
+	}
+
+	wireLease struct {
+		Partition guavascale.Partition
+		Reason    string
+	}
+
+	wireUnavailable struct {
+		System, Op     string
+		MayHaveApplied bool
+	}
+
+	exchangeIn struct {
+		Self   guavascale.Summary
+		Digest Digest
+	}
+
+	exchangeOut struct {
+		Summaries []guavascale.Summary
+	}
+
+	configOut struct {
+		Config *guavascale.Config
+	}
+
+	claimIn struct {
+		Key    string
+		Token  guavascale.ClaimToken
+		Answer guavascale.Answer
+	}
+
+	claimOut struct {
+		Token guavascale.ClaimToken
+	}
+
+	workOut struct {
+		Tasks []guavascale.Task
+		Jobs  []guavascale.JobStatus
+	}
+)
+
+const (
+	methodExchange method = "Exchange"
+	methodConfig   method = "Config"
+	methodClaim    method = "Claim"
+	methodFinish   method = "Finish"
+	methodRelease  method = "Release"
+	methodWork     method = "Work"
+)
+
+func encodeError(err error) *wireError {
+	w := &wireError{Text: err.Error()}
+	var run *guavascale.AlreadyRunError
+	var lease *guavascale.LeaseError
+	var down *guavascale.UnavailableError
+	switch {
+	case errors.As(err, &run):
+		w.AlreadyRun = &wireAlreadyRun{run.Key, run.Answer}
+	case errors.As(err, &lease):
+		w.Lease = &wireLease{lease.Partition, lease.Reason}
+	case errors.As(err, &down):
+		w.Unavailable = &wireUnavailable{down.System, down.Op, down.MayHaveApplied}
+	}
+	return w
+}
+
+func (w *wireError) decode() error {
+	switch {
+	case w.AlreadyRun != nil:
+		return &guavascale.AlreadyRunError{Key: w.AlreadyRun.Key, Answer: w.AlreadyRun.Answer}
+	case w.Lease != nil:
+		return &guavascale.LeaseError{Partition: w.Lease.Partition, Reason: w.Lease.Reason}
+	case w.Unavailable != nil:
+		u := w.Unavailable
+		return &guavascale.UnavailableError{
+			System: u.System, Op: u.Op, MayHaveApplied: u.MayHaveApplied, Cause: errors.New(w.Text),
+		}
+	default:
+		return errors.New(w.Text)
+	}
+}
