guavafake: add the fleet of workers and its judge

Cause: the shard and daemon need workers that obey the agent's protocol, and trials need counts of starts and violations. Ruled out: a goroutine per worker, which would tie results to the wall clock; ends are computed and applied when a worker is looked at.

--- /dev/null
+++ b/guavafake/agent.go
@@ -0,0 +1,245 @@
+package guavafake
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"guavascale.example"
+)
+
+var (
+	errWorkerDown = errors.New("the worker is down")
+	errCutOff     = errors.New("the message was lost")
+)
+
+// Send delivers orders to a worker. The worker is found by its ID. The call
+// returns without effect when ctx ends during the delay of a message.
+func (f *Fleet) Send(ctx context.Context, to guavascale.Worker, o guavascale.Orders) (guavascale.Report, error) {
+	if err := sleep(ctx, f.delayMs(to.ID)); err != nil {
+		return guavascale.Report{}, workerUnavailable(to.ID, false, err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[to.ID]
+	switch {
+	case w == nil || w.down:
+		return guavascale.Report{}, workerUnavailable(to.ID, false, errWorkerDown)
+	case w.faults.CutOff:
+		// The sender cannot tell a lost message from a lost answer.
+		return guavascale.Report{}, workerUnavailable(to.ID, true, errCutOff)
+	}
+	now := f.now()
+	f.advance(w, now)
+	reason := w.reject(o, now)
+	if reason == "" {
+		w.epochs[o.Shard] = o.Epoch
+		for _, order := range o.Orders {
+			f.apply(w, order, now)
+		}
+		// Work that is complete at once must not be reported as running.
+		f.advance(w, now)
+	}
+	report := f.report(w, o.Shard, now)
+	if w.faults.LoseAnswers > 0 {
+		w.faults.LoseAnswers--
+		return guavascale.Report{}, workerUnavailable(to.ID, true, errLostAnswer)
+	}
+	if reason != "" {
+		return guavascale.Report{}, &guavascale.OrderError{Worker: to.ID, Reason: reason, Report: report}
+	}
+	return report, nil
+}
+
+func (f *Fleet) delayMs(id guavascale.WorkerID) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[id]; w != nil {
+		return w.faults.DelayMs
+	}
+	return 0
+}
+
+func workerUnavailable(id guavascale.WorkerID, applied bool, cause error) error {
+	return &guavascale.UnavailableError{
+		System:         "worker " + string(id),
+		Op:             "Send",
+		MayHaveApplied: applied,
+		Cause:          cause,
+	}
+}
+
+// reject returns the reason for which a message is rejected, or "".
+func (w *worker) reject(o guavascale.Orders, now time.Time) string {
+	hasOrders := len(o.Orders) > 0
+	switch {
+	case o.Epoch < w.epochs[o.Shard]:
+		return guavascale.RejectEpoch
+	case o.Incarnation != w.incarnation && (hasOrders || o.Incarnation != ""):
+		return guavascale.RejectIncarnation
+	case hasOrders && w.clockMs(now) > o.NotAfterMs:
+		return guavascale.RejectLate
+	default:
+		return ""
+	}
+}
+
+// advance applies the ends that are due until now, and drops ended attempts
+// whose retention is over.
+func (f *Fleet) advance(w *worker, now time.Time) {
+	for id, r := range w.runs {
+		if r.state.Ended() {
+			if now.Sub(r.ended) > endedRetention {
+				delete(w.runs, id)
+			}
+			continue
+		}
+		at, state := r.due(f.scale())
+		if at.After(now) {
+			continue
+		}
+		r.advance(at, f.scale())
+		if state == guavascale.AttemptDone {
+			r.progress = r.seconds()
+		}
+		if state == guavascale.AttemptExpired {
+			r.reason = "lease expired"
+			r.save = true
+		}
+		f.end(w, r, state, at)
+	}
+}
+
+// end ends an attempt, with a checkpoint when one was asked for.
+func (f *Fleet) end(w *worker, r *run, state guavascale.AttemptState, at time.Time) {
+	r.state = state
+	r.ended = at
+	saves := state == guavascale.AttemptStopped || state == guavascale.AttemptExpired
+	if r.save && saves && r.task.Class == guavascale.ClassBatch {
+		r.checkpoint = f.saveWork(r)
+	}
+	f.judge.ended(w, r, state)
+}
+
+func (f *Fleet) saveWork(r *run) string {
+	if f.saved == nil {
+		f.saved = map[string]savedWork{}
+	}
+	f.events++
+	ref := fmt.Sprintf("Checkpoint/%s/%d", r.id, f.events)
+	f.saved[ref] = savedWork{task: r.task.ID, seconds: r.progress}
+	return ref
+}
+
+func (f *Fleet) apply(w *worker, o guavascale.Order, now time.Time) {
+	r := w.runs[o.Attempt]
+	switch {
+	case o.Kind == guavascale.OrderStart && r == nil:
+		f.start(w, o, now)
+	case o.Kind == guavascale.OrderStop && r == nil:
+		// The end is remembered, so that a start that arrives after the stop
+		// has no effect.
+		w.runs[o.Attempt] = &run{id: o.Attempt, state: guavascale.AttemptStopped, reason: "never started", ended: now}
+	case r == nil:
+	case o.Kind == guavascale.OrderForget && r.state.Ended():
+		delete(w.runs, o.Attempt)
+	case o.Kind == guavascale.OrderRenew && r.state == guavascale.AttemptRunning:
+		r.leaseEnd = now.Add(time.Duration(o.LeaseMs) * time.Millisecond)
+	case o.Kind == guavascale.OrderThrottle && r.state == guavascale.AttemptRunning:
+		r.advance(now, f.scale())
+		r.percent = min(max(o.Percent, 1), fullPercent)
+	case o.Kind == guavascale.OrderStop && r.state == guavascale.AttemptRunning:
+		f.stop(w, r, o.Checkpoint, now)
+	}
+}
+
+func (f *Fleet) stop(w *worker, r *run, save bool, now time.Time) {
+	r.advance(now, f.scale())
+	r.save = save
+	if f.StopTime <= 0 {
+		f.end(w, r, guavascale.AttemptStopped, now)
+		return
+	}
+	r.state = guavascale.AttemptStopping
+	r.stopEnd = now.Add(f.StopTime)
+}
+
+func (f *Fleet) start(w *worker, o guavascale.Order, now time.Time) {
+	r := &run{
+		id:         o.Attempt,
+		state:      guavascale.AttemptRunning,
+		started:    now,
+		progressAt: now,
+		percent:    fullPercent,
+		leaseEnd:   now.Add(time.Duration(o.LeaseMs) * time.Millisecond),
+	}
+	if o.Task != nil {
+		r.task = *o.Task
+	}
+	r.reason = f.rejectStart(w, o)
+	if r.reason != "" {
+		r.state = guavascale.AttemptRejected
+		r.ended = now
+		w.runs[r.id] = r
+		return
+	}
+	r.progress = f.saved[r.task.Checkpoint].seconds
+	f.advanceHolders(r.task.ID, now)
+	f.judge.started(w, r, now)
+	w.runs[r.id] = r
+	if w.faults.FailStarts {
+		r.reason = "the worker fails every start"
+		f.end(w, r, guavascale.AttemptFailed, now)
+	}
+}
+
+// rejectStart returns the reason for which a start is rejected, or "".
+func (f *Fleet) rejectStart(w *worker, o guavascale.Order) string {
+	switch {
+	case o.Task == nil:
+		return "the order has no task"
+	case w.info.Leaving:
+		return "the worker is leaving"
+	case o.Task.Checkpoint != "" && f.saved[o.Task.Checkpoint].task != o.Task.ID:
+		return fmt.Sprintf("checkpoint %q of the task does not exist", o.Task.Checkpoint)
+	case f.RejectFull && !w.info.Capacity.Fits(w.used().Add(o.Task.Size)):
+		f.judge.verdict.NoRoom++
+		return "the worker has no room"
+	default:
+		return ""
+	}
+}
+
+// advanceHolders applies the ends that are due on the workers that run a task,
+// so that the judge does not take an ended attempt for a running one.
+func (f *Fleet) advanceHolders(id guavascale.TaskID, now time.Time) {
+	for holder := range f.judge.live[id] {
+		f.advance(f.workers[holder.worker], now)
+	}
+}
+
+func (f *Fleet) report(w *worker, shard guavascale.Partition, now time.Time) guavascale.Report {
+	report := guavascale.Report{
+		Worker:      w.info.ID,
+		Incarnation: w.incarnation,
+		ClockMs:     w.clockMs(now),
+		Epoch:       w.epochs[shard],
+	}
+	for _, r := range w.sorted() {
+		report.Attempts = append(report.Attempts, r.report(w, now, f.UsageLag))
+	}
+	return report
+}
+
+// sorted returns the known attempts by ID, so that reports are repeatable.
+func (w *worker) sorted() []*run {
+	runs := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.id, b.id) })
+	return runs
+}
--- /dev/null
+++ b/guavafake/worker.go
@@ -0,0 +1,157 @@
+package guavafake
+
+import (
+	"fmt"
+	"time"
+
+	"guavascale.example"
+)
+
+type (
+	// worker is one worker of a fleet. It is guarded by the fleet's mutex.
+	worker struct {
+		info        guavascale.Worker
+		faults      WorkerFaults
+		down        bool
+		boots       int
+		booted      time.Time
+		epochs      map[guavascale.Partition]uint64
+		runs        map[guavascale.AttemptID]*run
+		incarnation string
+	}
+
+	// run is an attempt that a worker knows.
+	run struct {
+		id    guavascale.AttemptID
+		task  guavascale.Task
+		state guavascale.AttemptState
+		// reason and checkpoint are reported.
+		reason     string
+		checkpoint string
+		started    time.Time
+		// ended is set once the state is an ended one.
+		ended    time.Time
+		leaseEnd time.Time
+		// stopEnd is when an attempt in state Stopping ends.
+		stopEnd time.Time
+		save    bool
+		// progress is the work done until progressAt, in seconds of work.
+		progress   float64
+		progressAt time.Time
+		percent    int
+	}
+)
+
+const (
+	// endedRetention is how long a worker reports an ended attempt; the
+	// agent's protocol requires at least an hour.
+	endedRetention = time.Hour
+
+	// defaultRunSeconds is the run time of batch tasks that declare none.
+	defaultRunSeconds = 1.0
+
+	fullPercent = 100
+)
+
+func (w *worker) boot(now time.Time) {
+	w.boots++
+	w.booted = now
+	w.down = false
+	w.incarnation = fmt.Sprintf("%s-%d", w.info.ID, w.boots)
+	w.epochs = map[guavascale.Partition]uint64{}
+	w.runs = map[guavascale.AttemptID]*run{}
+}
+
+// clockMs is the worker's monotonic clock, which starts with each boot.
+func (w *worker) clockMs(now time.Time) int64 { return now.Sub(w.booted).Milliseconds() }
+
+// used returns the declared sizes of the attempts that have not ended.
+func (w *worker) used() guavascale.Resources {
+	var sum guavascale.Resources
+	for _, r := range w.runs {
+		if !r.state.Ended() {
+			sum = sum.Add(r.task.Size)
+		}
+	}
+	return sum
+}
+
+// runsService reports whether an instance of a service runs here.
+func (w *worker) runsService(name string) bool {
+	for _, r := range w.runs {
+		if r.task.Class == guavascale.ClassService && r.task.Service == name && !r.state.Ended() {
+			return true
+		}
+	}
+	return false
+}
+
+// seconds is the work of the task, in seconds.
+func (r *run) seconds() float64 {
+	if r.task.RunSeconds <= 0 {
+		return defaultRunSeconds
+	}
+	return r.task.RunSeconds
+}
+
+// rate is the work done per second of the clock.
+func (r *run) rate(scale float64) float64 {
+	return float64(r.percent) / fullPercent / scale
+}
+
+// doneAt is when the work of a running batch attempt is completed.
+func (r *run) doneAt(scale float64) time.Time {
+	left := max(r.seconds()-r.progress, 0) / r.rate(scale)
+	return r.progressAt.Add(time.Duration(left * float64(time.Second)))
+}
+
+// advance adds the work done until t.
+func (r *run) advance(t time.Time, scale float64) {
+	if r.state == guavascale.AttemptRunning && r.task.Class == guavascale.ClassBatch && t.After(r.progressAt) {
+		r.progress += t.Sub(r.progressAt).Seconds() * r.rate(scale)
+		r.progress = min(r.progress, r.seconds())
+	}
+	r.progressAt = t
+}
+
+// due returns the time and state of the end of an attempt that has not ended,
+// as far as it is known at present.
+func (r *run) due(scale float64) (time.Time, guavascale.AttemptState) {
+	if r.state == guavascale.AttemptStopping {
+		return r.stopEnd, guavascale.AttemptStopped
+	}
+	if r.task.Class == guavascale.ClassBatch {
+		if done := r.doneAt(scale); !done.After(r.leaseEnd) {
+			return done, guavascale.AttemptDone
+		}
+	}
+	return r.leaseEnd, guavascale.AttemptExpired
+}
+
+// report describes the attempt as the agent does.
+func (r *run) report(w *worker, now time.Time, lag time.Duration) guavascale.AttemptReport {
+	a := guavascale.AttemptReport{
+		Attempt:    r.id,
+		State:      r.state,
+		Reason:     r.reason,
+		Checkpoint: r.checkpoint,
+	}
+	if r.state.Ended() {
+		return a
+	}
+	a.UsageAgeMs = lag.Milliseconds()
+	if now.Sub(r.started) < lag {
+		return a
+	}
+	a.Used = r.task.Size
+	factor := w.faults.UsageFactor
+	if factor <= 0 {
+		factor = 1
+	}
+	a.Used.MilliCores = int64(float64(a.Used.MilliCores) * factor * float64(r.percent) / fullPercent)
+	a.Used.MemoryMB = int64(float64(a.Used.MemoryMB) * factor)
+	if r.task.Class == guavascale.ClassService {
+		a.LatencyMs = w.faults.LatencyMs
+	}
+	return a
+}
