guavafake: serve the platform, endpoints and control over HTTP

Cause: separate processes need the stand-in, and the gateway needs endpoints that misbehave on request. Ruled out: net/http, since fasthttp is the project's HTTP library; one listener for all workers, since limits belong to a worker.

--- /dev/null
+++ b/guavafake/platform.go
@@ -0,0 +1,107 @@
+package guavafake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+
+	"github.com/valyala/fasthttp"
+
+	"guavascale.example"
+)
+
+type (
+	// Platform is a whole stand-in for the platform: what Handler serves. The
+	// zero value has no workers.
+	Platform struct {
+		Table     Table
+		Objects   Objects
+		Fleet     Fleet
+		Endpoints Endpoints
+
+		server  *fasthttp.Server
+		address string
+	}
+
+	// FleetSpec describes equal workers in racks of RackSize.
+	FleetSpec struct {
+		// Workers is the number of workers of all zones together; they are
+		// dealt out to Zones in turn.
+		Workers  int
+		Zones    []guavascale.Zone
+		Capacity guavascale.Resources
+		// Host is the host of the endpoint listeners, on free ports.
+		Host string
+	}
+)
+
+const (
+	// RackSize is the number of workers in a rack.
+	RackSize = 8
+	// DefaultSlots and DefaultConnections are the limits of a worker in
+	// deployments today.
+	DefaultSlots       = 8
+	DefaultConnections = 60
+)
+
+// Listen serves the platform at an address, host and port, and returns the
+// address in use. Port 0 stands for a free port. The platform is served until
+// Close.
+func (p *Platform) Listen(address string) (string, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	p.server = newServer(p.Handler())
+	p.address = ln.Addr().String()
+	// Serve returns when Close shuts the server down.
+	go func() { _ = p.server.Serve(ln) }()
+	return p.address, nil
+}
+
+// AddWorkers opens the endpoints of new workers "<zone>-<n>" and adds them.
+// AgentAddress is the platform's address, so Listen comes first.
+func (p *Platform) AddWorkers(spec FleetSpec) error {
+	if len(spec.Zones) == 0 {
+		return &guavascale.ValidationError{Field: "FleetSpec.Zones", Value: "none", Allowed: "one zone or more"}
+	}
+	for i := range spec.Workers {
+		n := i / len(spec.Zones)
+		zone := spec.Zones[i%len(spec.Zones)]
+		w := guavascale.Worker{
+			ID:           guavascale.WorkerID(fmt.Sprintf("%s-%d", zone, n)),
+			Zone:         zone,
+			Rack:         n / RackSize,
+			Capacity:     spec.Capacity,
+			AgentAddress: p.address,
+			Slots:        DefaultSlots,
+			Connections:  DefaultConnections,
+		}
+		if err := p.AddWorker(w, spec.Host); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AddWorker opens the endpoint of a worker on a free port of host and adds the
+// worker.
+func (p *Platform) AddWorker(w guavascale.Worker, host string) error {
+	p.Endpoints.Fleet = &p.Fleet
+	w, err := p.Endpoints.Open(w, host)
+	if err != nil {
+		return err
+	}
+	p.Fleet.Add(w)
+	return nil
+}
+
+// Close stops all listeners; calls in progress have until ctx ends.
+func (p *Platform) Close(ctx context.Context) error {
+	err := p.Endpoints.Close(ctx)
+	if p.server != nil {
+		err = errors.Join(err, p.server.ShutdownWithContext(ctx))
+	}
+	return err
+}
