guavashard: test the state machine under faults and fix three of them

Change: attempts are forgotten only after all start orders are dead; ends of jobs are queued again; tasks that can never run are passed over. Loops that decide go over ordered slices, so that a seed gives the same run. Ruled out: a shorter NotAfter, since a repeat may arrive within any bound.

--- a/guavashard/drain.go
+++ b/guavashard/drain.go
@@ -15,7 +15,7 @@
 	}
 	zoneOut := s.view.Config.ZonesOut[s.Zone]
 	var leave []*entry
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		if !zoneOut && !w.worker.Leaving {
 			continue
 		}
--- a/guavashard/failure.go
+++ b/guavashard/failure.go
@@ -78,7 +78,7 @@
 // exonerate takes the failures of a faulty job off all workers, and admits
 // starts again on those that were closed because of them.
 func (s *Shard) exonerate(job string) {
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		blocked := len(w.failed) >= maxDistinctFailures
 		for id, of := range w.failed {
 			if of == job {
--- a/guavashard/jobs.go
+++ b/guavashard/jobs.go
@@ -1,8 +1,11 @@
 package guavashard
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"guavascale.example"
@@ -71,7 +74,7 @@
 func (s *Shard) forwardCancel(job string) []guavascale.Write {
 	to := make(map[guavascale.Partition]bool)
 	var writes []guavascale.Write
-	for _, e := range s.tasks {
+	for _, e := range s.sorted() {
 		t := &e.task
 		if e.next != nil && e.next.State == guavascale.TaskHandedOver {
 			t = e.next
@@ -128,6 +131,11 @@
 	}
 }
 
+// sorted returns all entries in the order of arrival.
+func (s *Shard) sorted() []*entry {
+	return slices.SortedFunc(maps.Values(s.tasks), func(a, b *entry) int { return cmp.Compare(a.seq, b.seq) })
+}
+
 func (s *Shard) cancelled(t *guavascale.Task) bool { return t.Job != "" && s.cancels[t.Job] }
 
 // cancelTasks ends the waiting tasks of cancelled jobs and stops the running
@@ -137,7 +145,7 @@
 		return
 	}
 	active := make(map[string]bool)
-	for _, e := range s.tasks {
+	for _, e := range s.sorted() {
 		if !s.cancelling[e.task.Job] || e.task.State.Ended() {
 			continue
 		}
--- a/guavashard/message.go
+++ b/guavashard/message.go
@@ -12,7 +12,7 @@
 	if !s.now.Before(s.view.ActUntil) {
 		return
 	}
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		if w.underWay || w.worker.AgentAddress == "" {
 			continue
 		}
@@ -54,6 +54,9 @@
 	for _, a := range w.orphans {
 		m.Orders = append(m.Orders, guavascale.Order{Kind: guavascale.OrderStop, Attempt: a, Checkpoint: true})
 	}
+	if !s.now.After(w.startsUntil) {
+		return until
+	}
 	for _, a := range w.forget {
 		m.Orders = append(m.Orders, guavascale.Order{Kind: guavascale.OrderForget, Attempt: a})
 	}
@@ -83,6 +86,7 @@
 			Kind: guavascale.OrderStart, Attempt: attempt, Task: &t, LeaseMs: lease.Milliseconds(),
 		})
 		e.sent, e.sentUntil = true, later(e.sentUntil, until)
+		w.startsUntil = later(w.startsUntil, until)
 		e.leaseUntil = later(e.leaseUntil, until.Add(lease+leaseMargin))
 		e.renewed = s.now
 		return
--- a/guavashard/record.go
+++ b/guavashard/record.go
@@ -175,9 +175,13 @@
 	return s.take()
 }
 
-// requeue puts waiting tasks of a failed proposal back into the queue.
+// requeue puts waiting tasks and ended jobs of a failed proposal back into
+// their queues. Inbox rows come again with the next scan.
 func (s *Shard) requeue(p *proposal) {
 	for _, r := range p.records {
+		if r.JobDone != "" {
+			s.finished = append(s.finished, r.JobDone)
+		}
 		if r.Task == nil {
 			continue
 		}
@@ -207,7 +211,8 @@
 func (s *Shard) applyTask(t *guavascale.Task) {
 	e := s.tasks[t.ID]
 	if e == nil {
-		e = &entry{since: s.now}
+		s.nextSeq++
+		e = &entry{since: s.now, seq: s.nextSeq}
 		s.tasks[t.ID] = e
 	} else {
 		s.unlink(e)
@@ -252,7 +257,7 @@
 		return
 	}
 	w := s.worker(e.task.Worker)
-	w.tasks[e.task.ID] = e
+	w.tasks = append(w.tasks, e)
 	w.add(&e.task)
 	if e.task.Class == guavascale.ClassBatch {
 		s.usage[e.task.Team] = s.usage[e.task.Team].Add(e.task.Size)
@@ -265,7 +270,7 @@
 		return
 	}
 	w := s.worker(e.task.Worker)
-	delete(w.tasks, e.task.ID)
+	w.remove(e)
 	w.sub(&e.task)
 	if e.task.Class == guavascale.ClassBatch {
 		s.usage[e.task.Team] = s.usage[e.task.Team].Sub(e.task.Size)
--- a/guavashard/report.go
+++ b/guavashard/report.go
@@ -170,7 +170,7 @@
 
 // expireLeases ends the attempts of silent workers whose leases are over.
 func (s *Shard) expireLeases() {
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		if s.responsive(w) {
 			continue
 		}
--- a/guavashard/schedule.go
+++ b/guavashard/schedule.go
@@ -18,10 +18,38 @@
 	// maxPlacements bounds the placements of one Step, which takes about
 	// 1 µs for each worker and task.
 	maxPlacements = 256
-	// maxRefusals bounds the tasks of one Step that found no room.
+	// maxRefusals bounds the different sizes of one Step that found no room.
 	maxRefusals = 32
 )
 
+// refusals remembers within one Step which tasks found no room, so that the
+// tasks of a large job are not tried one by one.
+type refusals struct{ tasks [2][]*entry }
+
+func classIndex(t *guavascale.Task) int {
+	if t.Class == guavascale.ClassService {
+		return 1
+	}
+	return 0
+}
+
+// add remembers a refusal and reports whether there is room for more.
+func (r *refusals) add(e *entry) bool {
+	i := classIndex(&e.task)
+	r.tasks[i] = append(r.tasks[i], e)
+	return len(r.tasks[0])+len(r.tasks[1]) < maxRefusals
+}
+
+// find returns a refused task of the same class and team that is not larger.
+func (r *refusals) find(t *guavascale.Task) *entry {
+	for _, e := range r.tasks[classIndex(t)] {
+		if e.task.Team == t.Team && t.Size.Fits(e.task.Size) {
+			return e
+		}
+	}
+	return nil
+}
+
 // enqueue adds a task to the queue if it waits for a worker.
 func (s *Shard) enqueue(e *entry) {
 	if e.queued || !waits(&e.task) {
@@ -44,20 +72,32 @@
 	}
 	slices.SortStableFunc(s.waiting, func(a, b *entry) int { return rank(&a.task) - rank(&b.task) })
 	mayStart := s.now.Before(s.view.StartUntil) && !s.view.Config.ZonesOut[s.Zone]
-	placed, refused := 0, 0
+	var refused refusals
+	placed := 0
 	for _, e := range s.waiting {
-		if placed >= maxPlacements || refused >= maxRefusals {
+		if placed >= maxPlacements {
 			return
 		}
 		if e.next != nil || s.now.Before(e.notBefore) || s.cancelled(&e.task) {
 			continue
 		}
+		if !s.canEverRun(&e.task) {
+			e.refusal = "larger than any worker of the fleet"
+			continue
+		}
+		if like := refused.find(&e.task); like != nil {
+			e.refusal = like.refusal
+			s.considerHandOver(e, mayStart)
+			continue
+		}
 		if mayStart && s.placeTask(e) {
 			placed++
 			continue
 		}
-		refused++
 		s.considerHandOver(e, mayStart)
+		if !refused.add(e) {
+			return
+		}
 	}
 }
 
@@ -203,10 +243,6 @@
 	if t.Class != guavascale.ClassBatch {
 		return
 	}
-	if !s.canEverRun(t) {
-		e.refusal = "larger than any worker of the fleet"
-		return
-	}
 	delay := min(handOverAfter<<min(t.Hops, 6), maxHandOverDelay)
 	zoneOut := s.view.Config.ZonesOut[s.Zone]
 	tooLarge := e.refusal == string(guavaplace.RefusalTooLarge)
--- a/guavashard/service.go
+++ b/guavashard/service.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,12 +31,14 @@
 			byService[e.task.Service] = append(byService[e.task.Service], e)
 		}
 	}
-	for name, svc := range s.view.Config.Services {
+	services := s.view.Config.Services
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		svc := services[name]
 		s.reconcileService(&svc, byService[name], s.wanted(name))
 		delete(byService, name)
 	}
-	for name, entries := range byService {
-		s.reconcileService(&guavascale.Service{Name: name}, entries, 0)
+	for _, name := range slices.Sorted(maps.Keys(byService)) {
+		s.reconcileService(&guavascale.Service{Name: name}, byService[name], 0)
 	}
 }
 
@@ -66,7 +69,7 @@
 	slices.SortFunc(live, func(a, b *entry) int {
 		return cmp.Or(
 			cmp.Compare(boolInt(a.task.State.HoldsWorker()), boolInt(b.task.State.HoldsWorker())),
-			cmp.Compare(b.task.ID, a.task.ID))
+			cmp.Compare(b.seq, a.seq))
 	})
 	for _, e := range live[:len(live)-want] {
 		s.retire(e)
--- a/guavashard/shard.go
+++ b/guavashard/shard.go
@@ -100,6 +100,10 @@
 		view      *View
 		tasks     map[guavascale.TaskID]*entry
 		workers   map[guavascale.WorkerID]*workerState
+		// order holds the workers ordered by ID. Loops go over ordered slices
+		// where the order matters, so that equal inputs give equal outputs.
+		order   []*workerState
+		nextSeq uint64
 		// waiting holds the tasks that want a worker, in the order of arrival.
 		waiting []*entry
 		jobs    map[string]*jobState
@@ -129,6 +133,8 @@
 	// entry is a task with its volatile state.
 	entry struct {
 		task guavascale.Task
+		// seq numbers the entries of a shard in the order of arrival.
+		seq uint64
 		// next is the proposed state, nil when there is none.
 		next *guavascale.Task
 		// sent is set once this owner sent a start order for the attempt, or
--- /dev/null
+++ b/guavashard/shard_test.go
@@ -0,0 +1,257 @@
+package guavashard
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
+	"guavascale.example/guavafake"
+)
+
+func testJob(id string, tasks int, seconds float64) guavascale.Job {
+	return guavascale.Job{
+		ID: id, Team: "audit", Kind: "audit-pack", Tasks: tasks, RunSeconds: seconds,
+		Size: guavascale.Resources{MilliCores: 1000, MemoryMB: 512},
+	}
+}
+
+// Guards against lost, doubled and repeated tasks when messages are lost, late
+// and repeated, commits fail, workers restart and owners are replaced.
+func TestFaultsLoseAndDoubleNothing(t *testing.T) {
+	for seed := range uint64(100) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runFaults(t, seed)
+		})
+	}
+}
+
+func runFaults(t *testing.T, seed uint64) {
+	h := newHarness(t, seed, 6)
+	h.faulty = true
+	const jobs = 8
+	for i := range jobs {
+		h.declareSafely(testJob(fmt.Sprintf("job%d", i), 5, 20))
+	}
+	for range 600 {
+		h.step()
+		switch h.rng.IntN(150) {
+		case 0:
+			h.takeOver()
+		case 1:
+			h.end(h.randomWorker(), guavafake.ActionKill)
+		case 2:
+			h.end(h.randomWorker(), guavafake.ActionRestart)
+		case 3:
+			h.cutOff(h.randomWorker(), h.rng.IntN(2) == 0)
+		case 4:
+			h.view.Config.ZonesOut[testZone] = h.rng.IntN(2) == 0
+		}
+	}
+	h.faulty = false
+	h.view.Config.ZonesOut[testZone] = false
+	for i := range 6 {
+		id := guavascale.WorkerID(fmt.Sprintf("w%d", i))
+		h.cutOff(id, false)
+		h.end(id, guavafake.ActionRestart)
+	}
+	h.run(10 * time.Minute)
+	h.requireNoViolations()
+	for i := range jobs {
+		st := h.status(fmt.Sprintf("job%d", i))
+		require.True(t, st.Ended, "job %d: %+v", i, st)
+		require.Equal(t, 5, st.Done, "job %d", i)
+	}
+}
+
+// declareSafely repeats the inbox row until it is logged, as the store keeps
+// the row until then.
+func (h *harness) declareSafely(job guavascale.Job) {
+	for h.shard.jobs[job.ID] == nil {
+		h.declare(job)
+		h.step()
+	}
+}
+
+func (h *harness) randomWorker() guavascale.WorkerID {
+	return guavascale.WorkerID(fmt.Sprintf("w%d", h.rng.IntN(6)))
+}
+
+// Guards against a start of a task whose earlier attempt may still run on a
+// worker that is cut off.
+func TestTaskOfSilentWorkerWaitsForItsLease(t *testing.T) {
+	h := newHarness(t, 1, 2)
+	h.declareSafely(testJob("tally", 1, 300))
+	h.run(3 * time.Second)
+	w := h.shard.Tasks()[0].Worker
+	require.NotEmpty(t, w)
+	h.cutOff(w, true)
+	h.run(40 * time.Second)
+	require.Equal(t, 1, h.fleet.Verdict().StartsByTask["tally/0"])
+	h.takeOver()
+	h.run(55 * time.Second)
+	require.Equal(t, 1, h.fleet.Verdict().StartsByTask["tally/0"], "lease counts from the takeover")
+	h.run(60 * time.Second)
+	require.Equal(t, 2, h.fleet.Verdict().StartsByTask["tally/0"])
+	h.requireNoViolations()
+}
+
+// Guards against an eviction that loses work or resumes twice.
+func TestEvictedTaskResumesOnce(t *testing.T) {
+	h := newHarness(t, 1, 2)
+	h.declareSafely(testJob("audit", 1, 60))
+	h.run(10 * time.Second)
+	require.True(t, h.shard.Evict("audit/0", "service misses its target"))
+	require.False(t, h.shard.Evict("audit/0", "again"), "one eviction at a time")
+	h.run(90 * time.Second)
+	require.Equal(t, 2, h.fleet.Verdict().StartsByTask["audit/0"])
+	require.Equal(t, 1, h.status("audit").Done)
+	h.requireNoViolations()
+}
+
+// Guards against starts in a zone that is out, and against tasks that stay
+// there.
+func TestZoneOutStopsStartsAndHandsTasksOver(t *testing.T) {
+	h := newHarness(t, 1, 3)
+	other := guavascale.PartitionSummary{
+		Partition: "Shard-Brest-0", Zone: "Brest",
+		Free: guavascale.Resources{MilliCores: 4000, MemoryMB: 4096}, Total: guavascale.Resources{MilliCores: 8000},
+	}
+	h.view.Others = []guavascale.PartitionSummary{other}
+	h.declareSafely(testJob("audit", 4, 120))
+	h.run(5 * time.Second)
+	starts := len(h.fleet.Verdict().StartsByZone[testZone])
+	require.Equal(t, 4, starts)
+	h.view.Config.ZonesOut[testZone] = true
+	h.run(10 * time.Second)
+	require.Len(t, h.fleet.Verdict().StartsByZone[testZone], starts)
+	require.Empty(t, h.fleet.Running())
+	require.Empty(t, h.shard.Tasks())
+	for i := range 4 {
+		var item guavascale.InboxItem
+		key := InboxKey("Shard-Brest-0", fmt.Sprintf("audit/%d", i))
+		require.NoError(t, json.Unmarshal(h.sent[key], &item), key)
+		require.NotEmpty(t, item.Task.Checkpoint)
+	}
+}
+
+// Guards against a home shard that never learns of the ends of tasks that ran
+// elsewhere, and against a cancellation that does not follow a moved task.
+func TestMovedTasksAreCountedAndCancelled(t *testing.T) {
+	tests := map[string]struct {
+		item guavascale.InboxItem
+		want guavascale.JobStatus
+	}{
+		"end is counted": {
+			guavascale.InboxItem{Ended: &guavascale.EndedTask{Task: "audit/0", Job: "audit", State: guavascale.TaskDone}},
+			guavascale.JobStatus{Ended: true, Done: 1},
+		},
+		"cancellation is passed on": {guavascale.InboxItem{Cancel: "audit"}, guavascale.JobStatus{}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1, 0)
+			h.view.Others = []guavascale.PartitionSummary{{
+				Partition: "Shard-Brest-0", Zone: "Brest", Free: guavascale.Resources{MilliCores: 4000, MemoryMB: 4096},
+			}}
+			h.declareSafely(testJob("audit", 1, 10))
+			h.run(5 * time.Second)
+			value, _ := json.Marshal(tt.item)
+			h.put("item", value)
+			h.run(time.Second)
+			got := h.status("audit")
+			got.Job = guavascale.Job{}
+			require.Equal(t, tt.want, got)
+			_, passed := h.sent[InboxKey("Shard-Brest-0", "cancel-audit")]
+			require.Equal(t, tt.item.Cancel != "", passed)
+		})
+	}
+}
+
+// Guards against a worker that fails everything and attracts all tasks, and
+// against a faulty job that closes healthy workers.
+func TestFailuresArePutDownToTheirCause(t *testing.T) {
+	t.Run("faulty worker", func(t *testing.T) {
+		h := newHarness(t, 1, 4)
+		require.NoError(t, h.fleet.SetFaults("w0", guavafake.WorkerFaults{FailStarts: true}))
+		for i := range 6 {
+			h.declareSafely(testJob(fmt.Sprintf("job%d", i), 3, 5))
+		}
+		h.run(2 * time.Minute)
+		for i := range 6 {
+			require.Equal(t, 3, h.status(fmt.Sprintf("job%d", i)).Done, "job %d", i)
+		}
+	})
+	t.Run("faulty job", func(t *testing.T) {
+		h := newHarness(t, 1, 4)
+		for i := range 4 {
+			_ = h.fleet.SetFaults(guavascale.WorkerID(fmt.Sprintf("w%d", i)), guavafake.WorkerFaults{FailStarts: true})
+		}
+		h.declareSafely(testJob("faulty", 12, 5))
+		h.run(3 * time.Minute)
+		require.Equal(t, 12, h.status("faulty").Failed)
+		for _, w := range h.shard.workers {
+			require.False(t, h.shard.closed(w), "worker %s is closed", w.worker.ID)
+		}
+	})
+}
+
+// Guards against a job that can never run and holds others up.
+func TestUnplaceableJobBlocksNobody(t *testing.T) {
+	h := newHarness(t, 1, 2)
+	big := testJob("big", 50, 5)
+	big.Size.MilliCores = 64_000
+	h.declareSafely(big)
+	h.declareSafely(testJob("small", 2, 5))
+	h.run(20 * time.Second)
+	require.Equal(t, 2, h.status("small").Done)
+	require.Equal(t, guavascale.TaskUnplaceable, h.shard.Tasks()[0].State)
+	require.Equal(t, "larger than any worker of the fleet", h.shard.Tasks()[0].Reason)
+}
+
+// Guards against a completed task that a cancellation reports as cancelled, and
+// against tasks that survive it.
+func TestCancellation(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	h.declareSafely(testJob("audit", 6, 10))
+	h.run(12500 * time.Millisecond)
+	value, _ := json.Marshal(guavascale.InboxItem{Cancel: "audit"})
+	h.put("cancel", value)
+	h.run(20 * time.Second)
+	st := h.status("audit")
+	require.True(t, st.Ended)
+	require.Equal(t, len(h.fleet.Verdict().Done), st.Done)
+	require.Equal(t, 6, st.Done+st.Cancelled)
+	require.Empty(t, h.fleet.Running())
+}
+
+// Guards against instances that are not replaced, and against the stop of an
+// endpoint that may still have requests in progress.
+func TestServiceInstances(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	svc := guavascale.Service{Name: "seats", Kind: "checkout", Size: guavascale.Resources{MilliCores: 500, MemoryMB: 256}}
+	h.view.Config.Services["seats"] = svc
+	h.view.Instances["seats"] = 2
+	h.run(5 * time.Second)
+	eps := h.shard.Summary().Endpoints
+	require.Len(t, eps, 2)
+	require.NotEqual(t, eps[0].Worker, eps[1].Worker, "instances are spread over workers")
+	h.cutOff(eps[0].Worker, true)
+	h.run(8 * time.Second)
+	require.Len(t, h.shard.Summary().Endpoints, 3, "a spare replaces the silent instance")
+	h.cutOff(eps[0].Worker, false)
+	h.run(5 * time.Second)
+	leaving := 0
+	for _, ep := range h.shard.Summary().Endpoints {
+		if ep.Leaving {
+			leaving++
+		}
+	}
+	require.Equal(t, 1, leaving, "the surplus instance is announced before it is stopped")
+	h.run(40 * time.Second)
+	require.Len(t, h.shard.Summary().Endpoints, 2)
+	h.requireNoViolations()
+}
--- a/guavashard/summary.go
+++ b/guavashard/summary.go
@@ -13,7 +13,7 @@
 		Partition: s.Name, Epoch: s.Epoch, Zone: s.Zone, Pending: len(s.waiting),
 		TeamUse: make(map[string]guavascale.Resources),
 	}
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		if !s.responsive(w) || w.worker.Leaving {
 			continue
 		}
@@ -102,7 +102,7 @@
 // Usages returns the latest measurements of all running tasks.
 func (s *Shard) Usages() []Usage {
 	var list []Usage
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		for _, e := range w.tasks {
 			if a, ok := w.reports[e.task.AttemptID()]; ok && e.seen {
 				list = append(list, Usage{Task: e.task, Worker: w.worker.ID, Report: a})
--- a/guavashard/worker.go
+++ b/guavashard/worker.go
@@ -1,6 +1,8 @@
 package guavashard
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"guavascale.example"
@@ -24,13 +26,19 @@
 		answered time.Time
 		sentAt   time.Time
 		underWay bool
-		tasks    map[guavascale.TaskID]*entry
-		used     guavascale.Resources
-		batch    guavascale.Resources
+		// tasks holds the tasks that count against the worker, in the order
+		// in which they came.
+		tasks []*entry
+		used  guavascale.Resources
+		batch guavascale.Resources
 		// instances counts service instances.
 		instances int
 		reports   map[guavascale.AttemptID]guavascale.AttemptReport
-		// forget holds the ended attempts whose end is in the log.
+		// startsUntil is when the last message with a start order is dead.
+		startsUntil time.Time
+		// forget holds the ended attempts whose end is in the log. They are
+		// forgotten only after startsUntil: a repeated start order of an
+		// attempt that the worker has forgotten would start it again.
 		forget []guavascale.AttemptID
 		// orphans holds attempts to stop that the log does not hold.
 		orphans []guavascale.AttemptID
@@ -79,14 +87,23 @@
 	if w == nil {
 		w = &workerState{
 			worker: guavascale.Worker{ID: id},
-			tasks:  make(map[guavascale.TaskID]*entry),
 			failed: make(map[guavascale.TaskID]string),
 		}
 		s.workers[id] = w
+		i, _ := slices.BinarySearchFunc(s.order, id, compareWorker)
+		s.order = slices.Insert(s.order, i, w)
 	}
 	return w
 }
 
+func compareWorker(w *workerState, id guavascale.WorkerID) int { return cmp.Compare(w.worker.ID, id) }
+
+func (w *workerState) remove(e *entry) {
+	if i := slices.Index(w.tasks, e); i >= 0 {
+		w.tasks = slices.Delete(w.tasks, i, i+1)
+	}
+}
+
 func (w *workerState) add(t *guavascale.Task) {
 	w.used = w.used.Add(t.Size)
 	if t.Class == guavascale.ClassBatch {
@@ -108,7 +125,7 @@
 // updateWorkers takes over the host list. A worker that left the list stays
 // known while it may still run tasks.
 func (s *Shard) updateWorkers() {
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		w.listed = false
 	}
 	for _, listed := range s.view.Workers {
@@ -116,11 +133,13 @@
 		w.worker = listed
 		w.listed = true
 	}
-	for id, w := range s.workers {
-		if !w.listed && len(w.tasks) == 0 {
-			delete(s.workers, id)
+	s.order = slices.DeleteFunc(s.order, func(w *workerState) bool {
+		gone := !w.listed && len(w.tasks) == 0
+		if gone {
+			delete(s.workers, w.worker.ID)
 		}
-	}
+		return gone
+	})
 }
 
 // responsive reports whether the worker answered recently.
