guavafake: judge lost and repeated work by what reports have told

Cause: a worker that is cut off or killed after it completed work, but before any report told so, made the judge report WorkLost or WorkRepeated, although no scheduler can know of that work. Ruled out: ignoring all work of unreachable workers, which would also hide starts that ignore a report. The test case "work repeated" now asks the worker for its report first, as the rule requires; two cases for unreachable workers are new.

--- a/guavafake/agent.go
+++ b/guavafake/agent.go
@@ -48,6 +48,9 @@
 		w.faults.LoseAnswers--
 		return guavascale.Report{}, workerUnavailable(to.ID, true, errLostAnswer)
 	}
+	for _, r := range w.runs {
+		f.judge.told(r)
+	}
 	if reason != "" {
 		return guavascale.Report{}, &guavascale.OrderError{Worker: to.ID, Reason: reason, Report: report}
 	}
--- a/guavafake/fleet_test.go
+++ b/guavafake/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -209,8 +210,9 @@
 // Guards against a judge that misses a broken promise or reports a kept one.
 func TestJudge(t *testing.T) {
 	cases := map[string]struct {
-		act  func(b bench)
-		want []ViolationKind
+		act        func(b bench)
+		want       []ViolationKind
+		unreported int
 	}{
 		"moved after stop": {act: func(b bench) {
 			work := task("j/0", 10)
@@ -250,18 +252,39 @@
 		"work repeated": {act: func(b bench) {
 			b.must("w1", start(task("j/0", 1), 1))
 			b.clock.add(2 * time.Second)
+			b.must("w1")
 			b.must("w2", start(task("j/0", 1), 2))
 		}, want: []ViolationKind{ViolationRepeated}},
+		"done on a worker that was cut off": {act: func(b bench) {
+			b.must("w1", start(task("j/0", 1), 1))
+			require.NoError(b, b.fleet.SetFaults("w1", WorkerFaults{CutOff: true}))
+			b.clock.add(2 * time.Second)
+			b.must("w2", start(task("j/0", 1), 2))
+		}, unreported: 1},
+		"expired on a worker that came back": {act: func(b bench) {
+			b.must("w1", start(task("j/0", 100), 1))
+			require.NoError(b, b.fleet.SetFaults("w1", WorkerFaults{CutOff: true}))
+			b.clock.add(65 * time.Second)
+			work := task("j/0", 100)
+			b.must("w2", start(work, 2))
+			require.NoError(b, b.fleet.SetFaults("w1", WorkerFaults{}))
+			b.must("w1")
+			b.clock.add(time.Second)
+			work.Checkpoint = b.must("w2", stop("j/0#2", true)).Attempts[0].Checkpoint
+			b.must("w1", start(work, 3))
+		}, unreported: 1},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t)
 			c.act(b)
 			var got []ViolationKind
-			for _, v := range b.fleet.Verdict().Violations {
+			verdict := b.fleet.Verdict()
+			for _, v := range verdict.Violations {
 				got = append(got, v.Kind)
 			}
 			require.Equal(t, c.want, got)
+			require.Equal(t, c.unreported, verdict.Unreported)
 		})
 	}
 }
@@ -289,6 +312,27 @@
 	require.Equal(t, guavascale.AttemptRejected, b.must("w1", start(task("j/2", 10), 1)).Attempts[0].State)
 }
 
+// Guards against a delayed message that takes effect after its time limit, and
+// against a fleet that ignores the clock of a synctest bubble.
+func TestDelayedMessageExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var f Fleet
+		w := guavascale.Worker{ID: "w1"}
+		f.Add(w)
+		fence, err := f.Send(context.Background(), w, guavascale.Orders{Shard: shard})
+		require.NoError(t, err)
+		require.NoError(t, f.SetFaults("w1", WorkerFaults{DelayMs: 60_000}))
+		_, err = f.Send(context.Background(), w, guavascale.Orders{
+			Shard: shard, Incarnation: fence.Incarnation, NotAfterMs: fence.ClockMs + 59_999,
+			Orders: []guavascale.Order{start(task("j/0", 10), 1)},
+		})
+		var oe *guavascale.OrderError
+		require.ErrorAs(t, err, &oe)
+		require.Equal(t, guavascale.RejectLate, oe.Reason)
+		require.Empty(t, f.Verdict().StartsByTask)
+	})
+}
+
 // Guards against a host list that does not lag, which would hide faults that
 // need an outdated list.
 func TestHostListLag(t *testing.T) {
--- a/guavafake/judge.go
+++ b/guavafake/judge.go
@@ -45,7 +45,12 @@
 		Ends map[guavascale.AttemptState]int
 		// NoRoom counts the starts that workers rejected for lack of room,
 		// which needs RejectFull.
-		NoRoom     int
+		NoRoom int
+		// Unreported counts the starts that repeat work whose end no answered
+		// report had told, as when a worker completes a task, is cut off and
+		// its lease expires. No scheduler can prevent them, so they are no
+		// violations.
+		Unreported int
 		Violations []Violation
 	}
 
@@ -54,9 +59,15 @@
 		verdict Verdict
 		// live holds the batch attempts that run, by task.
 		live map[guavascale.TaskID]map[liveRun]bool
-		// kept is the progress of a task, in seconds of work, from which its
-		// next attempt has to resume.
-		kept map[guavascale.TaskID]float64
+		// last is the attempt of a task that was started last.
+		last map[guavascale.TaskID]*run
+		// reached is the progress of a task, in seconds of work, at its last
+		// end. kept is the part that a report has told; the next attempt has
+		// to resume from it. doneTold holds the tasks of which a report has
+		// told that they are done.
+		reached  map[guavascale.TaskID]float64
+		kept     map[guavascale.TaskID]float64
+		doneTold map[guavascale.TaskID]bool
 	}
 
 	liveRun struct {
@@ -91,7 +102,10 @@
 		return
 	}
 	j.live = map[guavascale.TaskID]map[liveRun]bool{}
+	j.last = map[guavascale.TaskID]*run{}
+	j.reached = map[guavascale.TaskID]float64{}
 	j.kept = map[guavascale.TaskID]float64{}
+	j.doneTold = map[guavascale.TaskID]bool{}
 	j.verdict.StartsByAttempt = map[guavascale.AttemptID]int{}
 	j.verdict.StartsByTask = map[guavascale.TaskID]int{}
 	j.verdict.StartsByZone = map[guavascale.Zone][]Start{}
@@ -121,36 +135,65 @@
 	for other := range j.live[r.task.ID] {
 		j.report(ViolationTwice, w, r, now, fmt.Sprintf("%s runs on %s", other.attempt, other.worker))
 	}
-	switch {
-	case v.Done[r.task.ID]:
-		j.report(ViolationRepeated, w, r, now, "the task was done before")
-	case r.progress < j.kept[r.task.ID]-progressTolerance:
-		j.report(ViolationLost, w, r, now, fmt.Sprintf("resumes at %.3f s of work, completed were %.3f s", r.progress, j.kept[r.task.ID]))
-	}
+	j.checkProgress(w, r, now)
+	j.last[r.task.ID] = r
 	if j.live[r.task.ID] == nil {
 		j.live[r.task.ID] = map[liveRun]bool{}
 	}
 	j.live[r.task.ID][liveRun{w.info.ID, r.id}] = true
 }
 
+// checkProgress compares where run r begins with the completed work of its task.
+func (j *judge) checkProgress(w *worker, r *run, now time.Time) {
+	id := r.task.ID
+	switch {
+	case j.doneTold[id]:
+		j.report(ViolationRepeated, w, r, now, "a report told before that the task is done")
+	case r.progress < j.kept[id]-progressTolerance:
+		j.report(ViolationLost, w, r, now, fmt.Sprintf("resumes at %.3f s of work, completed were %.3f s", r.progress, j.kept[id]))
+	case j.verdict.Done[id] || r.progress < j.reached[id]-progressTolerance:
+		j.verdict.Unreported++
+	}
+	j.reached[id] = r.progress
+}
+
 // ended records the end of run r in the given state. Work that an attempt
 // completed counts unless the attempt ended with its worker, which no
 // scheduler can prevent.
 func (j *judge) ended(w *worker, r *run, state guavascale.AttemptState) {
 	j.init()
 	j.verdict.Ends[state]++
+	id := r.task.ID
 	if r.task.Class != guavascale.ClassBatch {
 		return
 	}
-	delete(j.live[r.task.ID], liveRun{w.info.ID, r.id})
-	if len(j.live[r.task.ID]) == 0 {
-		delete(j.live, r.task.ID)
+	delete(j.live[id], liveRun{w.info.ID, r.id})
+	if len(j.live[id]) == 0 {
+		delete(j.live, id)
 	}
 	switch state {
 	case guavascale.AttemptDone:
-		j.verdict.Done[r.task.ID] = true
+		j.verdict.Done[id] = true
+	case guavascale.AttemptStopped, guavascale.AttemptExpired:
+		j.reached[id] = max(j.reached[id], r.progress)
+	}
+}
+
+// told records that an answered report told the end of run r. The end of an
+// attempt that was followed by another one no longer matters.
+func (j *judge) told(r *run) {
+	if r.told || !r.state.Ended() {
+		return
+	}
+	r.told = true
+	if j.last[r.task.ID] != r {
+		return
+	}
+	switch r.state {
+	case guavascale.AttemptDone:
+		j.doneTold[r.task.ID] = true
 	case guavascale.AttemptStopped, guavascale.AttemptExpired:
-		j.kept[r.task.ID] = max(j.kept[r.task.ID], r.progress)
+		j.kept[r.task.ID] = r.progress
 	}
 }
 
--- a/guavafake/worker.go
+++ b/guavafake/worker.go
@@ -39,6 +39,8 @@
 		progress   float64
 		progressAt time.Time
 		percent    int
+		// told is set once an answered report contained the end.
+		told bool
 	}
 )
 
