guavafake: refuse connections to killed workers

Cause: a killed worker accepted connections and reset them, so that trials never met a refused connection, the one failure that proves a request did not run. Ruled out: closing the listener from Fleet, which knows no sockets. go test -race -count=5 passes; shutdown after a kill reports no error.

--- a/guavafake/control.go
+++ b/guavafake/control.go
@@ -87,6 +87,23 @@
 	}
 }
 
+// Act does an action to a worker and its endpoint: the endpoint of a killed
+// worker refuses connections until the worker is restarted. It fails as
+// Fleet.Act does, and when the endpoint cannot be opened again.
+func (p *Platform) Act(id guavascale.WorkerID, a WorkerAction) error {
+	if err := p.Fleet.Act(id, a); err != nil {
+		return err
+	}
+	switch a {
+	case ActionKill:
+		return p.Endpoints.Refuse(id)
+	case ActionRestart:
+		return p.Endpoints.Accept(id)
+	default:
+		return nil
+	}
+}
+
 func (p *Platform) serveState(ctx *fasthttp.RequestCtx) {
 	serve(ctx, func(emptyMessage) (State, error) { return p.State(), nil })
 }
@@ -122,7 +139,7 @@
 		if q.Action == "" {
 			return emptyMessage{}, nil
 		}
-		return emptyMessage{}, p.Fleet.Act(q.Worker, q.Action)
+		return emptyMessage{}, p.Act(q.Worker, q.Action)
 	})
 }
 
--- a/guavafake/endpoint.go
+++ b/guavafake/endpoint.go
@@ -54,6 +54,7 @@
 		owner       *Endpoints
 		info        guavascale.Worker
 		server      *fasthttp.Server
+		listener    net.Listener
 		requests    int
 		connections int
 		counts      EndpointCounts
@@ -105,25 +106,76 @@
 	ep := &endpoint{owner: e, info: w}
 	ep.server = newServer(ep.serve)
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.workers == nil {
 		e.workers = map[guavascale.WorkerID]*endpoint{}
 	}
 	e.workers[w.ID] = ep
-	e.mu.Unlock()
-	// Serve returns when Close shuts the server down.
-	go func() { _ = ep.server.Serve(&limitListener{Listener: ln, ep: ep}) }()
+	ep.listen(ln)
 	return w, nil
 }
 
+// Refuse closes the listener of a worker, so that new connections are refused.
+// Open connections stay; requests on them find out whether the worker is
+// reachable. It fails with NotFoundError.
+func (e *Endpoints) Refuse(id guavascale.WorkerID) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ep := e.workers[id]
+	if ep == nil {
+		return &guavascale.NotFoundError{Kind: "endpoint of worker", Name: string(id)}
+	}
+	if ep.listener == nil {
+		return nil
+	}
+	err := ep.listener.Close()
+	ep.listener = nil
+	return err
+}
+
+// Accept opens the listener of a worker again, at the same address, after
+// Refuse. It fails with NotFoundError, and when another process took the port.
+func (e *Endpoints) Accept(id guavascale.WorkerID) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ep := e.workers[id]
+	if ep == nil {
+		return &guavascale.NotFoundError{Kind: "endpoint of worker", Name: string(id)}
+	}
+	if ep.listener != nil {
+		return nil
+	}
+	ln, err := net.Listen("tcp", ep.info.EndpointAddress)
+	if err != nil {
+		return err
+	}
+	ep.listen(ln)
+	return nil
+}
+
+// listen serves a listener. The mutex of Endpoints is held.
+func (ep *endpoint) listen(ln net.Listener) {
+	l := &limitListener{Listener: ln, ep: ep}
+	ep.listener = l
+	// Serve returns when the listener is closed.
+	go func() { _ = ep.server.Serve(l) }()
+}
+
 // Close stops all listeners; requests in progress have until ctx ends.
 func (e *Endpoints) Close(ctx context.Context) error {
 	e.mu.Lock()
 	workers := maps.Clone(e.workers)
 	e.workers = nil
 	e.mu.Unlock()
-	var all error
+	// A shutdown polls for the end of requests, so that closing one after the
+	// other would take seconds with a hundred workers.
+	errs := make(chan error, len(workers))
 	for _, ep := range workers {
-		all = errors.Join(all, ep.server.ShutdownWithContext(ctx))
+		go func() { errs <- ep.server.ShutdownWithContext(ctx) }()
+	}
+	var all error
+	for range workers {
+		all = errors.Join(all, <-errs)
 	}
 	return all
 }
--- a/guavafake/endpoint_test.go
+++ b/guavafake/endpoint_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -142,6 +143,22 @@
 	require.Equal(t, limit, p.Endpoints.Counts()["w1"].PeakConnections)
 }
 
+// Guards against a killed worker that still takes connections, and against one
+// that stays unreachable after its restart.
+func TestKilledWorkerRefusesConnections(t *testing.T) {
+	p, w := newEndpoint(t, 1, 2)
+	require.NoError(t, p.Act("w1", ActionKill))
+	_, err := net.Dial("tcp", w.EndpointAddress)
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	require.NoError(t, p.Act("w1", ActionRestart))
+	resp, err := post(w, "seats", nil)
+	require.NoError(t, err)
+	require.Equal(t, 503, resp.StatusCode(), "the instance ended with the worker")
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, p.Close(ctx))
+}
+
 // Guards against an answer from an instance that ended before it answered.
 func TestInterruptedRequest(t *testing.T) {
 	p, w := newEndpoint(t, 1, 2)
--- a/guavafake/server.go
+++ b/guavafake/server.go
@@ -11,7 +11,8 @@
 	// limitListener closes the connections beyond the limit of a worker.
 	limitListener struct {
 		net.Listener
-		ep *endpoint
+		ep   *endpoint
+		once sync.Once
 	}
 
 	limitConn struct {
@@ -74,6 +75,14 @@
 	}
 }
 
+// Close closes the listener; closing it again is no error, since the server
+// closes all its listeners at shutdown.
+func (l *limitListener) Close() error {
+	var err error
+	l.once.Do(func() { err = l.Listener.Close() })
+	return err
+}
+
 // Close closes the connection and gives its place back.
 func (c *limitConn) Close() error {
 	c.once.Do(c.ep.leave)
