--- a/guavastore/guavastore_test.go
+++ b/guavastore/guavastore_test.go
@@ -151,6 +151,46 @@
 	}
 }
 
+// Guards against lost messages to workers that look like rejected ones, and
+// against orders that the client repeats by itself.
+func TestAgentFaults(t *testing.T) {
+	cases := map[string]struct {
+		faults guavafake.WorkerFaults
+		starts int
+	}{
+		"cut off":     {faults: guavafake.WorkerFaults{CutOff: true}},
+		"answer lost": {faults: guavafake.WorkerFaults{LoseAnswers: 1}, starts: 1},
+		"slow":        {faults: guavafake.WorkerFaults{DelayMs: 600}, starts: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			ctx := context.Background()
+			p, address := listen(t)
+			agent := &guavastore.Agent{}
+			w := guavascale.Worker{ID: "Z/1", AgentAddress: address}
+			fence, err := agent.Send(ctx, w, guavascale.Orders{Shard: "S"})
+			require.NoError(t, err)
+			require.NoError(t, p.Fleet.SetFaults(w.ID, c.faults))
+			limited, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+			defer cancel()
+			_, err = agent.Send(limited, w, guavascale.Orders{
+				Shard: "S", Incarnation: fence.Incarnation, NotAfterMs: fence.ClockMs + 60_000,
+				Orders: []guavascale.Order{{
+					Kind: guavascale.OrderStart, Attempt: "j/0#1", LeaseMs: 60_000,
+					Task: &guavascale.Task{ID: "j/0", Class: guavascale.ClassBatch, RunSeconds: 60},
+				}},
+			})
+			var ue *guavascale.UnavailableError
+			require.ErrorAs(t, err, &ue)
+			require.True(t, ue.MayHaveApplied)
+			require.Eventually(t, func() bool {
+				return p.Fleet.Verdict().StartsByTask["j/0"] == c.starts
+			}, 10*time.Second, time.Millisecond)
+			require.Empty(t, p.Fleet.Verdict().Violations)
+		})
+	}
+}
+
 // Guards against a late answer that is given to the next call. The server holds
 // the answer to the first call back until the client gave up, then sends it on
 // the same connection, and answers every later request at once.
