guavashard: test late start orders one by one

Cause: removing the wait for dead start orders, or forgetting attempts early, broke no test in 100 random schedules. Change: three focused tests. After: each of the two safeguards and the row that reports an end to the home shard fails a test when removed.

--- a/guavashard/harness_test.go
+++ b/guavashard/harness_test.go
@@ -34,6 +34,10 @@
 		sent map[string][]byte
 		// late holds messages of this and earlier owners that arrive later.
 		late []lateMessage
+		// hold, when set, tells for how long a message is under way.
+		hold func(m Message) time.Duration
+		// stale takes the right to start tasks away.
+		stale bool
 		// faulty switches message faults on.
 		faulty bool
 		// safeguard switches, off in normal runs.
@@ -110,6 +114,9 @@
 	now := h.clock.now
 	h.view.Workers, _ = h.fleet.Workers(context.Background())
 	h.view.StartUntil = now.Add(2 * time.Second)
+	if h.stale {
+		h.view.StartUntil = now.Add(-time.Second)
+	}
 	h.view.ActUntil = now.Add(9 * time.Second)
 	h.runCommits()
 	h.perform(h.shard.Step(now, &h.view))
@@ -166,6 +173,13 @@
 
 func (h *harness) send(owner *Shard, m Message) {
 	now := h.clock.now
+	if h.hold != nil {
+		if d := h.hold(m); d > 0 {
+			h.late = append(h.late, lateMessage{now.Add(d), m})
+			h.perform(owner.HandleReport(now, now, m.Worker.ID, guavascale.Report{}, errTestStore))
+			return
+		}
+	}
 	if h.faulty {
 		switch h.rng.IntN(10) {
 		case 0: // lost
--- /dev/null
+++ b/guavashard/order_test.go
@@ -0,0 +1,79 @@
+package guavashard
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
+)
+
+func hasStart(m Message) bool {
+	return slices.ContainsFunc(m.Orders.Orders, func(o guavascale.Order) bool {
+		return o.Kind == guavascale.OrderStart
+	})
+}
+
+// Guards against a repeated start order that starts an attempt again which the
+// worker was told to forget.
+func TestRepeatedStartAfterTheEnd(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	repeated := false
+	h.hold = func(m Message) time.Duration {
+		if hasStart(m) && !repeated {
+			repeated = true
+			h.late = append(h.late, lateMessage{h.clock.now.Add(1900 * time.Millisecond), m})
+		}
+		return 0
+	}
+	h.declareSafely(testJob("tally", 1, 0.2))
+	h.run(10 * time.Second)
+	require.True(t, repeated)
+	require.Equal(t, 1, h.fleet.Verdict().StartsByAttempt["tally/0#1"])
+	require.Equal(t, 1, h.status("tally").Done)
+	h.requireNoViolations()
+}
+
+// Guards against a new attempt while the start order of the previous one may
+// still arrive.
+func TestLateStartAfterAStaleConfiguration(t *testing.T) {
+	h := newHarness(t, 1, 2)
+	held := false
+	h.hold = func(m Message) time.Duration {
+		if !hasStart(m) || held {
+			return 0
+		}
+		held = true
+		h.stale = true
+		return 1900 * time.Millisecond
+	}
+	h.declareSafely(testJob("tally", 1, 60))
+	h.run(1500 * time.Millisecond)
+	h.stale = false
+	h.run(90 * time.Second)
+	require.True(t, held)
+	require.Equal(t, 1, h.status("tally").Done)
+	h.requireNoViolations()
+}
+
+// Guards against an end outside the home shard that the home shard never hears
+// of.
+func TestEndOutsideTheHomeShard(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	task := guavascale.Task{
+		ID: "tally/7", Class: guavascale.ClassBatch, Job: "tally", Home: "Shard-Brest-0", Hops: 1, Attempt: 3,
+		State: guavascale.TaskPending, RunSeconds: 1, Size: guavascale.Resources{MilliCores: 1000, MemoryMB: 512},
+	}
+	value, err := json.Marshal(guavascale.InboxItem{Task: &task})
+	require.NoError(t, err)
+	h.put("tally~7", value)
+	h.run(5 * time.Second)
+	var item guavascale.InboxItem
+	require.NoError(t, json.Unmarshal(h.sent[InboxKey("Shard-Brest-0", "ended-tally/7")], &item))
+	require.Equal(t, guavascale.EndedTask{Task: "tally/7", Job: "tally", State: guavascale.TaskDone}, *item.Ended)
+	require.Equal(t, 1, h.fleet.Verdict().StartsByAttempt["tally/7#4"], "attempts go on counting")
+	require.Empty(t, h.shard.Tasks())
+}
