--- /dev/null
+++ b/guavalease/driver_test.go
@@ -0,0 +1,163 @@
+package guavalease
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
+)
+
+var testPartitions = []guavascale.Partition{"Claim-0", "Claim-1", "Claim-2", "Claim-3", "Shard-a-0", "Shard-a-1"}
+
+func startDriver(t *testing.T, table guavascale.Table, daemon string) *Driver {
+	d := NewDriver(Options{Config: Config{Daemon: daemon}, Table: table})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go d.Run(ctx)
+	d.SetWanted(testPartitions)
+	return d
+}
+
+func owners(t *testing.T, table *memTable) map[guavascale.Partition]OwnerRow {
+	rows, err := table.Scan(context.Background(), OwnerPrefix, "", 100)
+	require.NoError(t, err)
+	all := map[guavascale.Partition]OwnerRow{}
+	for _, row := range rows {
+		o, err := DecodeOwner(row.Value)
+		require.NoError(t, err)
+		all[guavascale.Partition(row.Key[len(OwnerPrefix):])] = o
+	}
+	return all
+}
+
+// Guards against lost or doubled ownership when answers are lost or the store
+// is away, and against takeovers from a live owner once it returns.
+func TestDriversKeepOwnership(t *testing.T) {
+	cases := map[string]func(*memTable){
+		"NoFault": func(*memTable) {},
+		"Outage": func(m *memTable) {
+			m.setDown(true)
+			time.Sleep(60 * time.Second)
+			m.setDown(false)
+		},
+		"RenewalAnswersLost": func(m *memTable) {
+			m.lose(6)
+			time.Sleep(20 * time.Second)
+		},
+		"OutageTwice": func(m *memTable) {
+			for range 2 {
+				m.setDown(true)
+				time.Sleep(11 * time.Second)
+				m.setDown(false)
+				time.Sleep(2 * time.Second)
+			}
+		},
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := newMemTable()
+				a, b := startDriver(t, table, "a"), startDriver(t, table, "b")
+				time.Sleep(90 * time.Second)
+				before := owners(t, table)
+				require.Len(t, before, len(testPartitions))
+				fault(table)
+				time.Sleep(30 * time.Second)
+				assert.Equal(t, before, owners(t, table))
+				for _, p := range testPartitions {
+					_, errA := a.May(p)
+					_, errB := b.May(p)
+					assert.True(t, (errA == nil) != (errB == nil), "%s: %v, %v", p, errA, errB)
+				}
+			})
+		})
+	}
+}
+
+// Guards against partitions that stay without an owner after the answer of a
+// session creation, takeover or release was lost.
+func TestLostAnswersAreSettled(t *testing.T) {
+	for name, lost := range map[string]int{"Creation": 1, "FirstTakeovers": 4, "AllTakeovers": 7} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := newMemTable()
+				table.lose(lost)
+				d := startDriver(t, table, "a")
+				time.Sleep(60 * time.Second)
+				for _, p := range testPartitions {
+					right, err := d.May(p)
+					require.NoError(t, err)
+					assert.Equal(t, uint64(1), right.Epoch)
+				}
+				table.lose(lost)
+				require.NoError(t, d.Close(context.Background()))
+				for p, o := range owners(t, table) {
+					assert.Equal(t, OwnerRow{Epoch: 1}, o, p)
+				}
+				rows, err := table.Scan(context.Background(), SessionPrefix, "", 10)
+				require.NoError(t, err)
+				assert.Empty(t, rows)
+			})
+		})
+	}
+}
+
+// Guards against a paused daemon that acts after its partition was taken over:
+// the check refuses, and a commit that passed the check before the pause fails.
+func TestPausedOwnerIsFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemTable()
+		link := &cutTable{memTable: table}
+		a := startDriver(t, link, "a")
+		time.Sleep(10 * time.Second)
+		right, err := a.May("Claim-0")
+		require.NoError(t, err)
+		link.setCut(true)
+		b := startDriver(t, table, "b")
+		time.Sleep(40 * time.Second)
+		taken, err := b.May("Claim-0")
+		require.NoError(t, err)
+		assert.Greater(t, taken.Epoch, right.Epoch)
+		_, err = a.May("Claim-0")
+		var lease *guavascale.LeaseError
+		require.ErrorAs(t, err, &lease)
+		_, err = table.Commit(context.Background(), guavascale.Commit{ID: "x", Conditions: []guavascale.Condition{right.Owner}})
+		var cond *guavascale.ConditionError
+		require.ErrorAs(t, err, &cond)
+		link.setCut(false)
+		time.Sleep(5 * time.Second)
+		_, err = a.May("Claim-0")
+		require.ErrorAs(t, err, &lease)
+	})
+}
+
+// Guards against a steady state that costs a write per partition.
+func TestSteadyStateWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemTable()
+		startDriver(t, table, "a")
+		time.Sleep(30 * time.Second)
+		before := table.count()
+		time.Sleep(300 * time.Second)
+		assert.LessOrEqual(t, table.count()-before, 101)
+	})
+}
+
+// Guards against decoders that fail in other ways than with an error.
+func FuzzDecodeRows(f *testing.F) {
+	f.Add([]byte(`{"Instance":"a-1","Epoch":3}`))
+	f.Add([]byte(`{"Daemon":"a","Counter":18446744073709551616}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		if o, err := DecodeOwner(value); err == nil {
+			again, err := DecodeOwner(encode(o))
+			require.NoError(t, err)
+			require.Equal(t, o, again)
+		}
+		_, _ = DecodeSession(value)
+	})
+}
