--- /dev/null
+++ b/guavaoperator/errors.go
@@ -0,0 +1,135 @@
+package guavaoperator
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+
+	"guavascale.example"
+)
+
+type (
+	// ErrorBody is the JSON of an error. Fields that do not apply are left
+	// out.
+	ErrorBody struct {
+		// Error is the message for people.
+		Error string
+		// Kind is one of the Kind constants.
+		Kind ErrorKind
+		// Field, Value and Allowed are those of ValidationError.
+		Field   string `json:",omitempty"`
+		Value   string `json:",omitempty"`
+		Allowed string `json:",omitempty"`
+		// Based and InForce are those of ConflictError.
+		Based   uint64 `json:",omitempty"`
+		InForce uint64 `json:",omitempty"`
+		// What and Name are Kind and Name of NotFoundError.
+		What string `json:",omitempty"`
+		Name string `json:",omitempty"`
+		// System and Op are those of UnavailableError.
+		System string `json:",omitempty"`
+		Op     string `json:",omitempty"`
+		// MayHaveApplied tells that the call may have taken effect. Sending it
+		// again with the same ID is harmless.
+		MayHaveApplied bool
+	}
+
+	// ErrorKind is the kind of an error.
+	ErrorKind string
+
+	// StatusError reports that a daemon refused a call for another reason
+	// than those that have an error type of their own.
+	StatusError struct {
+		// Status is the HTTP status code.
+		Status  int
+		Message string
+	}
+
+	// CredentialError reports that a credential is missing or unknown.
+	CredentialError struct{}
+)
+
+const (
+	KindValidation  ErrorKind = "Validation"
+	KindCredential  ErrorKind = "Credential"
+	KindNotFound    ErrorKind = "NotFound"
+	KindConflict    ErrorKind = "Conflict"
+	KindUnavailable ErrorKind = "Unavailable"
+	KindRequest     ErrorKind = "Request"
+	KindInternal    ErrorKind = "Internal"
+)
+
+func (e *StatusError) Error() string { return fmt.Sprintf("%s (status %d)", e.Message, e.Status) }
+
+func (e *CredentialError) Error() string { return "the credential is missing or unknown" }
+
+// describe returns status and body for an error. A mutating call that failed
+// for a reason without a type may have taken effect.
+func describe(err error, mutating bool) (int, ErrorBody) {
+	body := ErrorBody{Error: err.Error()}
+	var (
+		invalid     *guavascale.ValidationError
+		conflict    *guavascale.ConflictError
+		condition   *guavascale.ConditionError
+		missing     *guavascale.NotFoundError
+		unavailable *guavascale.UnavailableError
+		credential  *CredentialError
+		status      *StatusError
+	)
+	switch {
+	case errors.As(err, &invalid):
+		body.Kind = KindValidation
+		body.Field, body.Value, body.Allowed = invalid.Field, invalid.Value, invalid.Allowed
+		return fasthttp.StatusBadRequest, body
+	case errors.As(err, &credential):
+		body.Kind = KindCredential
+		return fasthttp.StatusUnauthorized, body
+	case errors.As(err, &missing):
+		body.Kind = KindNotFound
+		body.What, body.Name = missing.Kind, missing.Name
+		return fasthttp.StatusNotFound, body
+	// UnavailableError may wrap a conflict, so it is matched before.
+	case errors.As(err, &unavailable):
+		body.Kind = KindUnavailable
+		body.System, body.Op = unavailable.System, unavailable.Op
+		body.MayHaveApplied = mutating && unavailable.MayHaveApplied
+		return fasthttp.StatusServiceUnavailable, body
+	case errors.As(err, &conflict):
+		body.Kind = KindConflict
+		body.Based, body.InForce = conflict.Based, conflict.InForce
+		return fasthttp.StatusConflict, body
+	case errors.As(err, &condition):
+		body.Kind = KindConflict
+		return fasthttp.StatusConflict, body
+	case errors.As(err, &status):
+		body.Kind = KindRequest
+		return status.Status, body
+	default:
+		body.Kind = KindInternal
+		body.MayHaveApplied = mutating
+		return fasthttp.StatusInternalServerError, body
+	}
+}
+
+// restore makes the error of a status and body that a daemon sent.
+func restore(status int, body ErrorBody) error {
+	switch body.Kind {
+	case KindValidation:
+		return &guavascale.ValidationError{Field: body.Field, Value: body.Value, Allowed: body.Allowed}
+	case KindCredential:
+		return &CredentialError{}
+	case KindNotFound:
+		return &guavascale.NotFoundError{Kind: body.What, Name: body.Name}
+	case KindConflict:
+		if body.InForce > 0 {
+			return &guavascale.ConflictError{Based: body.Based, InForce: body.InForce}
+		}
+	case KindUnavailable, KindInternal:
+		return &guavascale.UnavailableError{
+			System: body.System, Op: body.Op, MayHaveApplied: body.MayHaveApplied,
+			Cause: &StatusError{Status: status, Message: body.Error},
+		}
+	}
+	return &StatusError{Status: status, Message: body.Error}
+}
