guavaroute, guavagateway: add the request path

Cause: callers' requests need endpoint choice by shares of slots, admission control, and forwarding that knows whether a request was sent.

A connection is reused only when the endpoint echoes Request-Id. An endpoint that does not echo costs a connection per request.

--- /dev/null
+++ b/guavagateway/endpoint_test.go
@@ -0,0 +1,218 @@
+package guavagateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
+	"guavascale.example/guavaroute"
+)
+
+type (
+	// behaviour answers a request that was read whole; it reports whether the
+	// connection stays open.
+	behaviour func(c net.Conn, r *http.Request, body string) bool
+
+	// endpoint is a test endpoint that counts how often it ran each body.
+	endpoint struct {
+		guavascale.Endpoint
+		ln net.Listener
+
+		mu    sync.Mutex
+		runs  map[string]int
+		conns int
+	}
+
+	// shiftedClock starts GainDelay ahead after each Set in tests, so that
+	// slots are usable at once.
+	shiftedClock struct{ ahead atomic.Int64 }
+
+	// fakeClaims grants keys in memory.
+	fakeClaims struct {
+		mu       sync.Mutex
+		taken    map[string]*guavascale.Answer
+		down     bool
+		released int
+	}
+
+	fixture struct {
+		*Gateway
+		url   string
+		clock *shiftedClock
+	}
+)
+
+func (c *shiftedClock) Now() time.Time { return time.Now().Add(time.Duration(c.ahead.Load())) }
+
+func (f *fakeClaims) Claim(_ context.Context, key string) (guavascale.ClaimToken, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return guavascale.ClaimToken{}, &guavascale.UnavailableError{System: "table", Op: "claim"}
+	}
+	if a, ok := f.taken[key]; ok {
+		return guavascale.ClaimToken{}, &guavascale.AlreadyRunError{Key: key, Answer: a}
+	}
+	if f.taken == nil {
+		f.taken = map[string]*guavascale.Answer{}
+	}
+	f.taken[key] = nil
+	return guavascale.ClaimToken{Key: key}, nil
+}
+
+func (f *fakeClaims) Finish(_ context.Context, t guavascale.ClaimToken, a guavascale.Answer) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.taken[t.Key] = &a
+	return nil
+}
+
+func (f *fakeClaims) Release(_ context.Context, t guavascale.ClaimToken) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.taken, t.Key)
+	f.released++
+	return nil
+}
+
+// newEndpoint listens on loopback. before is called with the connection before
+// a request is read and may end it; run answers a request.
+func newEndpoint(t *testing.T, n int, before func(net.Conn) bool, run behaviour) *endpoint {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e := &endpoint{ln: ln, runs: map[string]int{}}
+	e.Endpoint = guavascale.Endpoint{
+		Service: "svc", Task: guavascale.TaskID(fmt.Sprintf("svc/s/%d", n)),
+		Worker: guavascale.WorkerID(fmt.Sprintf("w%d", n)), Zone: "a",
+		Address: ln.Addr().String(), Slots: 8, Connections: 60,
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			e.mu.Lock()
+			e.conns++
+			e.mu.Unlock()
+			go e.serve(c, before, run)
+		}
+	}()
+	return e
+}
+
+func (e *endpoint) serve(c net.Conn, before func(net.Conn) bool, run behaviour) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for before == nil || before(c) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		b, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.runs[string(b)]++
+		e.mu.Unlock()
+		if !run(c, r, string(b)) {
+			return
+		}
+	}
+}
+
+func (e *endpoint) ran(body string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[body]
+}
+
+func (e *endpoint) total() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, k := range e.runs {
+		n += k
+	}
+	return n
+}
+
+// echo answers with the body and the request's ID.
+func echo(c net.Conn, r *http.Request, body string) bool {
+	return answer(c, r.Header.Get(headerRequestID), body)
+}
+
+func answer(c net.Conn, id, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	return err == nil
+}
+
+// reset closes a connection with RST.
+func reset(c net.Conn) bool {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+	return false
+}
+
+func newGateway(t *testing.T, g *Gateway, services map[string]guavascale.Service, es ...*endpoint) *fixture {
+	t.Helper()
+	f := &fixture{Gateway: g, clock: &shiftedClock{}}
+	g.Clock = f.clock
+	f.set(services, es...)
+	f.clock.ahead.Add(int64(guavaroute.GainDelay))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f.url = "http://" + ln.Addr().String()
+	done := make(chan error, 1)
+	go func() { done <- g.Serve(ln) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		require.NoError(t, g.Shutdown(ctx))
+		require.NoError(t, <-done)
+	})
+	return f
+}
+
+func (f *fixture) set(services map[string]guavascale.Service, es ...*endpoint) {
+	if services == nil {
+		services = map[string]guavascale.Service{"svc": {Name: "svc"}}
+	}
+	s := &Snapshot{Daemon: "d1", Zone: "a", Daemons: []string{"d1"}, Services: services}
+	for _, e := range es {
+		s.Endpoints = append(s.Endpoints, e.Endpoint)
+	}
+	f.Set(s)
+}
+
+// do sends a request with headers given as "Name: value" and returns status,
+// outcome and body.
+func (f *fixture) do(t *testing.T, method, path, body string, headers ...string) (int, guavascale.Outcome, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	require.NoError(t, err)
+	for _, h := range headers {
+		k, v, _ := strings.Cut(h, ": ")
+		r.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, guavascale.Outcome(resp.Header.Get(headerOutcome)), string(b)
+}
--- /dev/null
+++ b/guavaroute/router.go
@@ -0,0 +1,374 @@
+package guavaroute
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"guavascale.example"
+)
+
+type (
+	// Router holds the routing state of one daemon. Its zero value works and
+	// has no endpoint.
+	Router struct {
+		// Rand is the source of random choices; nil is a source with a random
+		// seed.
+		Rand *rand.Rand
+		// Budget limits retries.
+		Budget Budget
+
+		view      View
+		workers   map[guavascale.WorkerID]*workerState
+		endpoints map[guavascale.TaskID]*endpointState
+		services  map[string]*serviceState
+		scratch   []Candidate
+		free      []*endpointState
+	}
+
+	workerState struct {
+		slots       ramp
+		connections ramp
+		inUse       int
+		// services are those with an endpoint on the worker.
+		services []string
+	}
+
+	endpointState struct {
+		endpoint guavascale.Endpoint
+		worker   *workerState
+		service  *serviceState
+		ejection ejection
+		latency  average
+		inUse    int
+	}
+
+	serviceState struct {
+		// endpoints holds those that may get new requests.
+		endpoints []*endpointState
+		workers   []*workerState
+		queue     queue
+		latency   average
+	}
+)
+
+// unmeasuredQueue is the capacity of a service's queue, in tickets per slot,
+// before any latency was measured.
+const unmeasuredQueue = 4
+
+// Update sets what the router knows of the fleet. Endpoints that are leaving
+// or whose zone is out get no request from then on; requests in progress there
+// go on. The events decide on waiting tickets.
+func (r *Router) Update(now time.Time, v View) []Event {
+	r.view = v
+	r.Budget.Ratio = retryRatio(v.Preset)
+	r.updateWorkers(now, v)
+	r.updateEndpoints(v)
+	return r.Tick(now)
+}
+
+func (r *Router) updateWorkers(now time.Time, v View) {
+	old := r.workers
+	r.workers = make(map[guavascale.WorkerID]*workerState, len(old))
+	for _, e := range v.Endpoints {
+		w := r.workers[e.Worker]
+		if w == nil {
+			w = old[e.Worker]
+			if w == nil {
+				w = &workerState{}
+			}
+			w.services = nil
+			r.workers[e.Worker] = w
+			a := Share(e.Worker, v.Daemon, v.Daemons, e.Slots, e.Connections)
+			w.slots.set(now, a.Slots)
+			w.connections.set(now, a.Connections)
+		}
+		if !slices.Contains(w.services, e.Service) {
+			w.services = append(w.services, e.Service)
+		}
+	}
+	// A worker that is not listed any more may return while requests to it are
+	// in progress; its slots count as lost, its use is remembered.
+	for id, w := range old {
+		if r.workers[id] == nil && w.inUse > 0 {
+			w.slots.set(now, 0)
+			w.connections.set(now, 0)
+			w.services = nil
+			r.workers[id] = w
+		}
+	}
+}
+
+func (r *Router) updateEndpoints(v View) {
+	oldEndpoints, oldServices := r.endpoints, r.services
+	r.endpoints = make(map[guavascale.TaskID]*endpointState, len(v.Endpoints))
+	r.services = make(map[string]*serviceState, len(oldServices))
+	for _, e := range v.Endpoints {
+		s := r.service(e.Service, oldServices)
+		if e.Leaving || v.ZonesOut[e.Zone] {
+			continue
+		}
+		es := oldEndpoints[e.Task]
+		if es == nil || es.endpoint.Address != e.Address {
+			es = &endpointState{}
+		}
+		es.endpoint, es.service, es.worker = e, s, r.workers[e.Worker]
+		r.endpoints[e.Task] = es
+		s.endpoints = append(s.endpoints, es)
+		if !slices.Contains(s.workers, es.worker) {
+			s.workers = append(s.workers, es.worker)
+		}
+	}
+	for name, s := range oldServices {
+		if r.services[name] == nil && s.queue.len() > 0 {
+			s.endpoints, s.workers = nil, nil
+			r.services[name] = s
+		}
+	}
+}
+
+func (r *Router) service(name string, old map[string]*serviceState) *serviceState {
+	s := r.services[name]
+	if s != nil {
+		return s
+	}
+	s = old[name]
+	if s == nil {
+		s = &serviceState{}
+	}
+	s.endpoints, s.workers = nil, nil
+	r.services[name] = s
+	return s
+}
+
+// Submit decides on a new request of a caller: Granted with a Pick, Queued,
+// Refused or NoEndpoint. The second event, when its ticket is not 0, refuses a
+// waiting ticket of lower priority in favour of this one.
+func (r *Router) Submit(now time.Time, t Ticket) (Event, Event) {
+	s := r.services[t.Service]
+	if s == nil || len(s.endpoints) == 0 {
+		return Event{Ticket: t.ID, Verdict: NoEndpoint}, Event{}
+	}
+	if s.queue.ahead(t.Priority) == 0 {
+		if p, ok := r.acquire(now, s, nil); ok {
+			r.Budget.Request(now)
+			return Event{Ticket: t.ID, Verdict: Granted, Pick: p}, Event{}
+		}
+	}
+	capacity := r.capacity(now, s)
+	if s.queue.full(t.Priority, capacity) {
+		return Event{Ticket: t.ID, Verdict: Refused}, Event{}
+	}
+	until := now.Add(queueTime(r.view.Preset))
+	if t.Deadline.Before(until) {
+		until = t.Deadline
+	}
+	shed, ok := s.queue.push(waiter{t, now, until}, capacity)
+	if ok && shed.ID == t.ID {
+		return Event{Ticket: t.ID, Verdict: Refused}, Event{}
+	}
+	if !ok {
+		return Event{Ticket: t.ID, Verdict: Queued}, Event{}
+	}
+	return Event{Ticket: t.ID, Verdict: Queued}, Event{Ticket: shed.ID, Verdict: Refused}
+}
+
+// Overloaded reports whether Submit would refuse a ticket now.
+func (r *Router) Overloaded(now time.Time, service string, p Priority) bool {
+	s := r.services[service]
+	if s == nil {
+		return false
+	}
+	return s.queue.len() > 0 && s.queue.full(p, r.capacity(now, s))
+}
+
+// Retry takes a slot for another attempt of a request, at none of the
+// endpoints already tried, and one retry of the budget. It does not wait.
+func (r *Router) Retry(now time.Time, service string, tried []guavascale.TaskID) (Pick, bool) {
+	s := r.services[service]
+	if s == nil {
+		return Pick{}, false
+	}
+	p, ok := r.acquire(now, s, tried)
+	if !ok {
+		return Pick{}, false
+	}
+	if r.Budget.Retry(now) {
+		return p, true
+	}
+	r.giveBack(p)
+	return Pick{}, false
+}
+
+// Cancel takes a waiting ticket out of its queue and reports whether it was
+// there.
+func (r *Router) Cancel(t Ticket) bool {
+	s := r.services[t.Service]
+	return s != nil && s.queue.remove(t.ID)
+}
+
+// Done gives a slot back. The events decide on waiting tickets.
+func (r *Router) Done(now time.Time, p Pick, res Result) []Event {
+	es := p.state
+	es.inUse--
+	es.worker.inUse--
+	es.observe(now, res)
+	es.ejection.end(now, p.probe, res, es.service.maySpare())
+	var events []Event
+	for {
+		e, ok := r.grantOne(now, es.worker.services)
+		if !ok {
+			return events
+		}
+		events = append(events, e)
+	}
+}
+
+// Tick decides on waiting tickets: those that waited too long have expired,
+// and slots that became usable are granted.
+func (r *Router) Tick(now time.Time) []Event {
+	var events []Event
+	names := make([]string, 0, len(r.services))
+	for name, s := range r.services {
+		names = append(names, name)
+		for _, t := range s.queue.expire(now) {
+			events = append(events, Event{Ticket: t.ID, Verdict: Expired})
+		}
+	}
+	slices.Sort(names)
+	for {
+		e, ok := r.grantOne(now, names)
+		if !ok {
+			return events
+		}
+		events = append(events, e)
+	}
+}
+
+// grantOne serves the first waiting ticket of the services that finds a slot:
+// higher priorities first, then the one that waits longest.
+func (r *Router) grantOne(now time.Time, services []string) (Event, bool) {
+	var best *serviceState
+	var first waiter
+	for _, name := range services {
+		s := r.services[name]
+		if s == nil {
+			continue
+		}
+		w, ok := s.queue.peek()
+		if !ok || (best != nil && !w.before(first)) || !r.hasFree(now, s) {
+			continue
+		}
+		best, first = s, w
+	}
+	if best == nil {
+		return Event{}, false
+	}
+	p, ok := r.acquire(now, best, nil)
+	if !ok {
+		return Event{}, false
+	}
+	best.queue.pop()
+	r.Budget.Request(now)
+	return Event{Ticket: first.ticket.ID, Verdict: Granted, Pick: p}, true
+}
+
+func (w waiter) before(o waiter) bool {
+	if w.ticket.Priority != o.ticket.Priority {
+		return w.ticket.Priority < o.ticket.Priority
+	}
+	return w.since.Before(o.since)
+}
+
+func (r *Router) hasFree(now time.Time, s *serviceState) bool {
+	return slices.ContainsFunc(s.endpoints, func(es *endpointState) bool {
+		return es.worker.inUse < es.worker.usable(now) && es.ejection.open(now)
+	})
+}
+
+func (r *Router) acquire(now time.Time, s *serviceState, tried []guavascale.TaskID) (Pick, bool) {
+	if r.Rand == nil {
+		r.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	mean := time.Duration(s.latency.value)
+	r.scratch, r.free = r.scratch[:0], r.free[:0]
+	for _, es := range s.endpoints {
+		usable := es.worker.usable(now)
+		if es.worker.inUse >= usable || !es.ejection.open(now) || slices.Contains(tried, es.endpoint.Task) {
+			continue
+		}
+		r.free = append(r.free, es)
+		r.scratch = append(r.scratch, Candidate{
+			OwnZone: es.endpoint.Zone == r.view.Zone,
+			InUse:   es.worker.inUse,
+			Slots:   usable,
+			Latency: es.latency.toward(now, mean),
+		})
+	}
+	i := Choose(r.scratch, r.Rand)
+	if i < 0 {
+		return Pick{}, false
+	}
+	es := r.free[i]
+	es.inUse++
+	es.worker.inUse++
+	return Pick{
+		Endpoint:    es.endpoint,
+		Connections: es.worker.connections.usable(now),
+		state:       es,
+		probe:       es.ejection.begin(),
+	}, true
+}
+
+// observe updates latencies. A failure faster than usual is no observation,
+// for an endpoint that refuses connections would look like the fastest one.
+func (es *endpointState) observe(now time.Time, res Result) {
+	switch {
+	case res.Rejected:
+	case !res.Failed:
+		es.latency.add(now, res.Elapsed)
+		es.service.latency.add(now, res.Elapsed)
+	case float64(res.Elapsed) > es.service.latency.value:
+		es.latency.add(now, res.Elapsed)
+	}
+}
+
+// giveBack undoes acquire; nothing was sent.
+func (r *Router) giveBack(p Pick) {
+	p.state.inUse--
+	p.state.worker.inUse--
+	if p.probe {
+		p.state.ejection.probing = false
+	}
+}
+
+// capacity returns the number of tickets that the service's slots complete
+// within the longest waiting time (Little's law). A longer queue would hold
+// requests that expire in it.
+func (r *Router) capacity(now time.Time, s *serviceState) int {
+	slots := 0
+	for _, w := range s.workers {
+		slots += w.usable(now)
+	}
+	if s.latency.last.IsZero() {
+		return unmeasuredQueue * slots
+	}
+	turns := float64(queueTime(r.view.Preset)) / max(s.latency.value, float64(time.Millisecond)/10)
+	return max(1, int(turns*float64(slots)))
+}
+
+// maySpare reports whether one more endpoint of the service may be ejected.
+func (s *serviceState) maySpare() bool {
+	ejected := 0
+	for _, es := range s.endpoints {
+		if es.ejection.ejected {
+			ejected++
+		}
+	}
+	return maxEjectedPart*(ejected+1) <= len(s.endpoints)
+}
+
+// usable is the number of requests that may be in progress at the worker.
+func (w *workerState) usable(now time.Time) int {
+	return min(w.slots.usable(now), w.connections.usable(now))
+}
