--- a/guavagateway/handle.go
+++ b/guavagateway/handle.go
@@ -1,6 +1,7 @@
 package guavagateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/url"
@@ -88,6 +89,9 @@
 	if (h.IsGet() || h.IsHead()) && len(r.ctx.Request.Body()) > 0 {
 		return badRequest("a GET or HEAD request has no body")
 	}
+	if twoLengths(r.ctx.Request.Header.RawHeaders()) {
+		return badRequest("the request has both Content-Length and Transfer-Encoding")
+	}
 	name, err := serviceName(string(h.RequestURI()))
 	if err != nil {
 		return badRequest(err.Error())
@@ -113,6 +117,14 @@
 	return nil
 }
 
+// twoLengths reports whether headers give a length in both ways. The HTTP
+// library takes the chunked one, but such a message may be an attempt at
+// request smuggling.
+func twoLengths(raw []byte) bool {
+	lower := append([]byte{'\n'}, bytes.ToLower(raw)...)
+	return bytes.Contains(lower, []byte("\ntransfer-encoding")) && bytes.Contains(lower, []byte("\ncontent-length"))
+}
+
 // serviceName returns the first segment of a path. The path is forwarded as it
 // came; one with dot segments is refused, since an endpoint could resolve it to
 // another service than the one that was checked here.
