--- a/cmd/guavabench/main.go
+++ b/cmd/guavabench/main.go
@@ -1,4 +1,19 @@
-// Command guavabench is a program of guavascale.
+// Command guavabench runs the measurements behind design decisions and writes
+// their tables.
+//
+// Each subcommand is one measurement. Models run in virtual time from fixed
+// seeds, so that their tables can be repeated; figures of real time depend on
+// the machine and are marked as such.
 package main
 
-func main() {}
+import "github.com/alecthomas/kong"
+
+type cli struct {
+	Routing routingCmd `cmd:"" help:"Compare routing policies in a queueing model and measure the gateway's own cost."`
+}
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("guavabench"))
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- a/guavaroute/budget.go
+++ b/guavaroute/budget.go
@@ -2,66 +2,58 @@
 
 import "time"
 
-type (
-	// Budget limits retries to a part of the requests of the last seconds.
-	// Its zero value allows the default ratio.
-	Budget struct {
-		// Ratio is the number of retries per request; 0 stands for
-		// DefaultRetryRatio.
-		Ratio float64
-
-		buckets [budgetSeconds]bucket
-	}
-
-	bucket struct {
-		second   int64
-		requests int
-		retries  int
-	}
-)
+// Budget limits retries to a part of the requests that were answered. It is a
+// token bucket: an answer adds Ratio tokens, a retry takes one. In an outage of
+// all endpoints no answer comes, so that retries end. Its zero value allows the
+// default ratio.
+type Budget struct {
+	// Ratio is the number of retries per answered request; 0 stands for
+	// DefaultRetryRatio.
+	Ratio float64
+
+	tokens  float64
+	updated time.Time
+	retries uint64
+	refused uint64
+}
 
 const (
-	budgetSeconds = 10
-	// minRetries are allowed per window whatever the traffic, so that a
-	// daemon with few requests can retry at all.
-	minRetries = 3
+	// maxTokens bounds the retries in a burst after a quiet time. A window of
+	// the last 10 s in its place sent 1.25 times the accepted requests in a
+	// short outage.
+	maxTokens = 10
+	// idleTokens are restored whatever the traffic, at idleRate per second,
+	// so that a daemon with few requests can retry at all.
+	idleTokens = 3
+	idleRate   = 0.3
 )
 
-// Request counts a request of a caller that obtained a slot. Refused requests
-// must not pay for retries.
-func (b *Budget) Request(now time.Time) { b.bucket(now).requests++ }
-
-// Retry takes one retry from the budget and reports whether it was there.
-func (b *Budget) Retry(now time.Time) bool {
-	requests, retries := b.Recent(now)
+// Answered counts a request that an endpoint answered.
+func (b *Budget) Answered() {
 	ratio := b.Ratio
 	if ratio <= 0 {
 		ratio = DefaultRetryRatio
 	}
-	if float64(retries+1) > max(minRetries, ratio*float64(requests)) {
-		return false
-	}
-	b.bucket(now).retries++
-	return true
+	b.tokens = min(b.tokens+ratio, max(b.tokens, maxTokens))
 }
 
-// Recent returns the requests and retries of the last 10 seconds.
-func (b *Budget) Recent(now time.Time) (requests, retries int) {
-	second := now.Unix()
-	for _, k := range b.buckets {
-		if second-k.second < budgetSeconds {
-			requests += k.requests
-			retries += k.retries
-		}
+// Retry takes one retry from the budget and reports whether it was there.
+func (b *Budget) Retry(now time.Time) bool {
+	b.restore(now)
+	if b.tokens < 1 {
+		b.refused++
+		return false
 	}
-	return requests, retries
+	b.tokens--
+	b.retries++
+	return true
 }
 
-func (b *Budget) bucket(now time.Time) *bucket {
-	second := now.Unix()
-	k := &b.buckets[second%budgetSeconds]
-	if k.second != second {
-		*k = bucket{second: second}
+func (b *Budget) restore(now time.Time) {
+	if b.updated.IsZero() {
+		b.tokens = max(b.tokens, idleTokens)
+	} else if b.tokens < idleTokens {
+		b.tokens = min(idleTokens, b.tokens+idleRate*now.Sub(b.updated).Seconds())
 	}
-	return k
+	b.updated = now
 }
--- a/guavaroute/choose.go
+++ b/guavaroute/choose.go
@@ -17,6 +17,8 @@
 		Slots int
 		// Latency is the recent latency; 0 when there is none.
 		Latency time.Duration
+		// Failures counts the latest consecutive failures.
+		Failures int
 	}
 
 	// Baseline chooses without slots and without recent latency. It is what
@@ -45,8 +47,10 @@
 )
 
 const (
-	// averageWeight is the weight of a new observation.
-	averageWeight = 0.2
+	// endpointWeight and serviceWeight are the weights of a new observation.
+	// A service has many more of them.
+	endpointWeight = 0.1
+	serviceWeight  = 0.01
 	// forgetTime is the time constant with which the latency of an endpoint
 	// returns to the mean of its service, so that one that was slow is tried
 	// again.
@@ -97,10 +101,12 @@
 	return -1
 }
 
-// score is the expected cost of one more request.
+// score is the expected cost of one more request. An endpoint that fails fast
+// always has free slots; without the factor for failures it would attract
+// requests.
 func (c Candidate) score() float64 {
 	load := float64(c.InUse+1) / float64(c.Slots)
-	return load * float64(max(c.Latency, time.Microsecond))
+	return load * float64(max(c.Latency, time.Microsecond)) * float64(1+c.Failures)
 }
 
 // Pick returns the index of the endpoint to use, given this daemon's requests
@@ -132,11 +138,11 @@
 	return best
 }
 
-func (a *average) add(now time.Time, d time.Duration) {
+func (a *average) add(now time.Time, d time.Duration, weight float64) {
 	if a.last.IsZero() {
 		a.value = float64(d)
 	} else {
-		a.value += averageWeight * (float64(d) - a.value)
+		a.value += weight * (float64(d) - a.value)
 	}
 	a.last = now
 }
--- a/guavaroute/router.go
+++ b/guavaroute/router.go
@@ -1,6 +1,7 @@
 package guavaroute
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,6 +25,12 @@
 		services  map[string]*serviceState
 		scratch   []Candidate
 		free      []*endpointState
+		heads     []head
+	}
+
+	head struct {
+		waiter
+		service *serviceState
 	}
 
 	workerState struct {
@@ -56,6 +63,11 @@
 // before any latency was measured.
 const unmeasuredQueue = 4
 
+// slowFactor is how many times the mean latency of its service an endpoint must
+// exceed to count as slow. Below 2, the noise of the averages would leave out
+// ordinary endpoints.
+const slowFactor = 2
+
 // Update sets what the router knows of the fleet. Endpoints that are leaving
 // or whose zone is out get no request from then on; requests in progress there
 // go on. The events decide on waiting tickets.
@@ -151,7 +163,6 @@
 	}
 	if s.queue.ahead(t.Priority) == 0 {
 		if p, ok := r.acquire(now, s, nil); ok {
-			r.Budget.Request(now)
 			return Event{Ticket: t.ID, Verdict: Granted, Pick: p}, Event{}
 		}
 	}
@@ -213,6 +224,9 @@
 	es.inUse--
 	es.worker.inUse--
 	es.observe(now, res)
+	if !res.Rejected && !res.Failed {
+		r.Budget.Answered()
+	}
 	es.ejection.end(now, p.probe, res, es.service.maySpare())
 	var events []Event
 	for {
@@ -248,62 +262,72 @@
 // grantOne serves the first waiting ticket of the services that finds a slot:
 // higher priorities first, then the one that waits longest.
 func (r *Router) grantOne(now time.Time, services []string) (Event, bool) {
-	var best *serviceState
-	var first waiter
+	r.heads = r.heads[:0]
 	for _, name := range services {
 		s := r.services[name]
 		if s == nil {
 			continue
 		}
-		w, ok := s.queue.peek()
-		if !ok || (best != nil && !w.before(first)) || !r.hasFree(now, s) {
-			continue
+		if w, ok := s.queue.peek(); ok {
+			r.heads = append(r.heads, head{w, s})
 		}
-		best, first = s, w
 	}
-	if best == nil {
-		return Event{}, false
-	}
-	p, ok := r.acquire(now, best, nil)
-	if !ok {
-		return Event{}, false
+	slices.SortStableFunc(r.heads, func(a, b head) int { return a.compare(b.waiter) })
+	for _, h := range r.heads {
+		if p, ok := r.acquire(now, h.service, nil); ok {
+			h.service.queue.pop()
+			return Event{Ticket: h.ticket.ID, Verdict: Granted, Pick: p}, true
+		}
 	}
-	best.queue.pop()
-	r.Budget.Request(now)
-	return Event{Ticket: first.ticket.ID, Verdict: Granted, Pick: p}, true
+	return Event{}, false
 }
 
-func (w waiter) before(o waiter) bool {
+func (w waiter) compare(o waiter) int {
 	if w.ticket.Priority != o.ticket.Priority {
-		return w.ticket.Priority < o.ticket.Priority
+		return cmp.Compare(w.ticket.Priority, o.ticket.Priority)
 	}
-	return w.since.Before(o.since)
-}
-
-func (r *Router) hasFree(now time.Time, s *serviceState) bool {
-	return slices.ContainsFunc(s.endpoints, func(es *endpointState) bool {
-		return es.worker.inUse < es.worker.usable(now) && es.ejection.open(now)
-	})
+	return w.since.Compare(o.since)
 }
 
+// acquire takes a slot of the best endpoint of a service. A slow endpoint is
+// left out while the wait for a faster one, by the queue's length, is shorter
+// than what it is slower, and a faster one is busy, whose end looks at the
+// queue again.
 func (r *Router) acquire(now time.Time, s *serviceState, tried []guavascale.TaskID) (Pick, bool) {
 	if r.Rand == nil {
 		r.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	mean := time.Duration(s.latency.value)
 	r.scratch, r.free = r.scratch[:0], r.free[:0]
+	slots, fastBusy := 0, false
 	for _, es := range s.endpoints {
 		usable := es.worker.usable(now)
-		if es.worker.inUse >= usable || !es.ejection.open(now) || slices.Contains(tried, es.endpoint.Task) {
+		slots += usable
+		latency := es.latency.toward(now, mean)
+		open := es.ejection.open(now) && !slices.Contains(tried, es.endpoint.Task)
+		if open && es.inUse > 0 && latency < slowFactor*mean {
+			fastBusy = true
+		}
+		if !open || es.worker.inUse >= usable {
 			continue
 		}
+		c := Candidate{
+			OwnZone:  es.endpoint.Zone == r.view.Zone,
+			InUse:    es.worker.inUse,
+			Slots:    usable,
+			Latency:  latency,
+			Failures: es.ejection.failures,
+		}
+		if es.ejection.ejected {
+			// A probe is due; the endpoint must be tried to return.
+			c.Latency, c.Failures = mean, 0
+		}
 		r.free = append(r.free, es)
-		r.scratch = append(r.scratch, Candidate{
-			OwnZone: es.endpoint.Zone == r.view.Zone,
-			InUse:   es.worker.inUse,
-			Slots:   usable,
-			Latency: es.latency.toward(now, mean),
-		})
+		r.scratch = append(r.scratch, c)
+	}
+	if fastBusy && len(tried) == 0 {
+		wait := time.Duration(float64(mean) * float64(s.queue.len()+1) / float64(slots))
+		r.leaveOutSlow(slowFactor*mean + wait)
 	}
 	i := Choose(r.scratch, r.Rand)
 	if i < 0 {
@@ -320,16 +344,28 @@
 	}, true
 }
 
+// leaveOutSlow removes the free endpoints slower than limit.
+func (r *Router) leaveOutSlow(limit time.Duration) {
+	n := 0
+	for i, c := range r.scratch {
+		if c.Latency <= limit {
+			r.scratch[n], r.free[n] = c, r.free[i]
+			n++
+		}
+	}
+	r.scratch, r.free = r.scratch[:n], r.free[:n]
+}
+
 // observe updates latencies. A failure faster than usual is no observation,
 // for an endpoint that refuses connections would look like the fastest one.
 func (es *endpointState) observe(now time.Time, res Result) {
 	switch {
 	case res.Rejected:
 	case !res.Failed:
-		es.latency.add(now, res.Elapsed)
-		es.service.latency.add(now, res.Elapsed)
+		es.latency.add(now, res.Elapsed, endpointWeight)
+		es.service.latency.add(now, res.Elapsed, serviceWeight)
 	case float64(res.Elapsed) > es.service.latency.value:
-		es.latency.add(now, res.Elapsed)
+		es.latency.add(now, res.Elapsed, endpointWeight)
 	}
 }
 
--- a/guavaroute/state.go
+++ b/guavaroute/state.go
@@ -14,9 +14,11 @@
 		Endpoints []EndpointState
 		// Queued counts waiting tickets by service.
 		Queued map[string]int
-		// Requests and Retries are those of the last 10 s.
-		Requests int
-		Retries  int
+		// RetryTokens is the number of retries that the budget allows now.
+		// Retries and RetriesRefused count since the start.
+		RetryTokens    float64
+		Retries        uint64
+		RetriesRefused uint64
 	}
 
 	// EndpointState is the state of an endpoint that may get requests.
@@ -40,8 +42,12 @@
 
 // State returns a copy of the router's state, ordered by task.
 func (r *Router) State(now time.Time) State {
-	st := State{Queued: map[string]int{}}
-	st.Requests, st.Retries = r.Budget.Recent(now)
+	st := State{
+		Queued:         map[string]int{},
+		RetryTokens:    r.Budget.tokens,
+		Retries:        r.Budget.retries,
+		RetriesRefused: r.Budget.refused,
+	}
 	for name, s := range r.services {
 		st.Queued[name] = s.queue.len()
 	}
