guavadaemon, guavascaled: assemble the daemon

Cause: the parts need one process that runs them: control goroutine, gateway, operators' interface, peers, leases. Ruled out: a goroutine per shard, since quotas and the division of services need all shards of a daemon. Seen: 'guavascaled dev' starts a service with two instances and a job of four tasks 3 s after start; the first requests are refused as not run for 5 s more, while slots wait. The log compared rights with their new end time and closed itself at each renewal; it now compares epoch and owner row.

--- /dev/null
+++ b/guavadaemon/claims.go
@@ -0,0 +1,56 @@
+package guavadaemon
+
+import (
+	"context"
+	"time"
+
+	"guavascale.example"
+	"guavascale.example/guavaclaim"
+	"guavascale.example/guavaconfig"
+	"guavascale.example/guavalease"
+)
+
+const (
+	// claimLinger is the group commit time of claims. It is part of the answer
+	// time of each keyed request, so it is shorter than that of shards.
+	claimLinger = 20 * time.Millisecond
+	claimRetry  = time.Second
+)
+
+func (d *Daemon) newClaims() *guavaclaim.Router {
+	iv := &d.Settings.Intervals
+	return &guavaclaim.Router{
+		Local: guavaclaim.NewPartitions(guavaclaim.Options{
+			Table: d.Platform.Table, Objects: d.Platform.Objects, Right: d.lease.May, Clock: d.clock,
+			Linger: claimLinger, KeepKeys: guavaconfig.Seconds(iv.KeySeconds),
+			KeepAnswers: guavaconfig.Seconds(iv.AnswerSeconds),
+		}),
+		Remote: &remoteClaims{d},
+	}
+}
+
+// claimOwnership opens a gained claim partition, on the store pool, or drops a
+// lost one.
+func (d *Daemon) claimOwnership(ctx context.Context, e guavalease.Event) {
+	if e.Kind != guavalease.EventGained {
+		d.claims.Local.Lose(e.Partition)
+		return
+	}
+	d.storePool.Submit(func() { d.openClaims(ctx, e.Partition, e.Epoch) })
+}
+
+func (d *Daemon) openClaims(ctx context.Context, p guavascale.Partition, epoch uint64) {
+	if right, err := d.lease.May(p); err != nil || right.Epoch != epoch {
+		return
+	}
+	err := d.claims.Local.Gain(ctx, p)
+	if err == nil {
+		return
+	}
+	d.Log.Warn().Err(err).Str("partition", string(p)).Msg("claim: the log could not be read; trying again")
+	time.AfterFunc(claimRetry, func() {
+		if ctx.Err() == nil {
+			d.storePool.Submit(func() { d.openClaims(ctx, p, epoch) })
+		}
+	})
+}
--- /dev/null
+++ b/guavadaemon/daemon.go
@@ -0,0 +1,253 @@
+// Package guavadaemon assembles one daemon.
+//
+// The model: a control goroutine owns the shards, the host list and the view of
+// the other daemons. Ten times a second it advances each owned shard and
+// carries out its effects; store calls, messages to workers and exchanges with
+// peers run on bounded pools, and their results come back through a mailbox.
+// Callers' requests are served by the gateway from an immutable snapshot that
+// the control goroutine publishes; they never wait for control.
+//
+// A daemon keeps nothing: after a restart it takes over partitions and reads
+// their logs. Run returns after a graceful shutdown: readiness turns false, the
+// gateway completes its requests, partitions are released and the session row
+// is deleted.
+package guavadaemon
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"guavascale.example"
+	"guavascale.example/guavaclaim"
+	"guavascale.example/guavaconfig"
+	"guavascale.example/guavagateway"
+	"guavascale.example/guavalease"
+	"guavascale.example/guavaoperator"
+	"guavascale.example/guavapeer"
+)
+
+type (
+	// Platform is what a daemon needs of the platform.
+	Platform struct {
+		Table   guavascale.Table
+		Objects guavascale.Objects
+		Hosts   guavascale.HostList
+		Agent   guavascale.Agent
+	}
+
+	// Daemon is one daemon. Settings (with defaults) and Platform are required.
+	// A Daemon runs once.
+	Daemon struct {
+		Settings guavaconfig.Settings
+		Platform Platform
+		Log      zerolog.Logger
+
+		clock    guavascale.Clock
+		registry metrics.Registry
+		watcher  *guavaconfig.Watcher
+		lease    *guavalease.Driver
+		claims   *guavaclaim.Router
+		members  guavapeer.Members
+		peers    guavapeer.Client
+		server   guavapeer.Server
+		gateway  guavagateway.Gateway
+		operator guavaoperator.Server
+		mail     *mailbox
+		control  *control
+		// storePool, workerPool and peerPool bound the calls under way.
+		storePool  pond.Pool
+		workerPool pond.Pool
+		peerPool   pond.Pool
+		started    time.Time
+		stopping   atomic.Bool
+		addresses  Addresses
+		ready      chan struct{}
+		newConfig  chan struct{}
+	}
+
+	// Addresses are the addresses that a running daemon listens on.
+	Addresses struct {
+		Gateway  string
+		Operator string
+		Peer     string
+		Metrics  string
+	}
+
+	listeners struct{ gateway, operator, peer, metrics net.Listener }
+)
+
+const (
+	storeCalls  = 32
+	workerCalls = 64
+	peerCalls   = 16
+	// balancerNotice is how long readiness is false before the gateway stops
+	// accepting, so that the load balancer stops sending callers.
+	balancerNotice = 2 * time.Second
+	// releaseTimeout bounds the release of partitions at shutdown.
+	releaseTimeout = 5 * time.Second
+)
+
+// Run starts the daemon and returns after ctx ended and the graceful shutdown
+// is complete. It fails when a listener cannot be opened.
+func (d *Daemon) Run(ctx context.Context) error {
+	l, err := d.listen()
+	if err != nil {
+		return err
+	}
+	d.assemble(l)
+	// Control and lease outlive ctx: they are needed until the requests in
+	// progress are complete.
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	d.start(inner, l)
+	close(d.ready)
+	d.Log.Info().Str("gateway", d.addresses.Gateway).Str("operator", d.addresses.Operator).
+		Str("peer", d.addresses.Peer).Msg("daemon: started")
+	<-ctx.Done()
+	d.shutdown(cancel)
+	return nil
+}
+
+// Ready returns a channel that is closed once the daemon listens. Prepare must
+// have been called.
+func (d *Daemon) Ready() <-chan struct{} { return d.ready }
+
+// Addresses returns the addresses in use; valid once Ready is closed.
+func (d *Daemon) Addresses() Addresses { return d.addresses }
+
+// Prepare makes Ready usable before Run is called.
+func (d *Daemon) Prepare() {
+	if d.ready == nil {
+		d.ready = make(chan struct{})
+	}
+}
+
+func (d *Daemon) listen() (listeners, error) {
+	var l listeners
+	d.Prepare()
+	s := &d.Settings
+	for _, e := range []struct {
+		name string
+		cfg  guavaconfig.Listener
+		into *net.Listener
+		addr *string
+	}{
+		{"Gateway", s.Gateway, &l.gateway, &d.addresses.Gateway},
+		{"Operator", s.Operator, &l.operator, &d.addresses.Operator},
+		{"Peer", s.Peer, &l.peer, &d.addresses.Peer},
+		{"Metrics", s.Metrics, &l.metrics, &d.addresses.Metrics},
+	} {
+		if e.cfg.Listen == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", e.cfg.Listen)
+		if err != nil {
+			return l, fmt.Errorf("listen on %s (%s): %w", e.cfg.Listen, e.name, err)
+		}
+		*e.into = ln
+		*e.addr = ln.Addr().String()
+		if e.cfg.Advertise != "" {
+			*e.addr = e.cfg.Advertise
+		}
+	}
+	return l, nil
+}
+
+func (d *Daemon) assemble(listeners) {
+	d.clock = guavascale.WallClock{}
+	d.started = d.clock.Now()
+	d.registry = metrics.NewRegistry()
+	d.mail = newMailbox()
+	d.newConfig = make(chan struct{}, 1)
+	d.storePool = pond.NewPool(storeCalls)
+	d.workerPool = pond.NewPool(workerCalls)
+	d.peerPool = pond.NewPool(peerCalls)
+	iv := &d.Settings.Intervals
+	d.watcher = &guavaconfig.Watcher{
+		Table: d.Platform.Table, Clock: d.clock, Notify: d.newConfig,
+		Poll: guavaconfig.Seconds(iv.ConfigPollSeconds), Authority: guavaconfig.Seconds(iv.StartAuthoritySeconds),
+	}
+	d.lease = guavalease.NewDriver(guavalease.Options{
+		Config: guavalease.Config{
+			Daemon: d.Settings.Name, Address: d.addresses.Peer,
+			RenewEvery: guavaconfig.Seconds(iv.SessionRenewSeconds),
+			TTL:        guavaconfig.Seconds(iv.SessionTTLSeconds),
+			Margin:     guavaconfig.Seconds(iv.SessionMarginSeconds),
+		},
+		Table: d.Platform.Table, Clock: d.clock, Logger: d.Log,
+	})
+	d.claims = d.newClaims()
+	lim := &d.Settings.Limits
+	d.gateway.Claims = d.claims
+	d.gateway.Log = d.Log
+	d.gateway.Registry = d.registry
+	d.gateway.Limits = guavagateway.Limits{
+		RequestBytes: lim.BodyBytes, HeaderBytes: lim.HeaderBytes,
+		ReadTime: guavaconfig.Seconds(lim.ReadSeconds), Connections: lim.Connections,
+	}
+	d.operator.Backend = &backend{d}
+	d.operator.Credentials = d.Settings.Credentials
+	d.operator.Limits = *lim
+	d.operator.Metrics = d.registry
+	d.operator.Log = d.Log
+	d.server.Members = &d.members
+	d.server.Local = &local{d}
+	d.server.Clock = d.clock
+	d.control = newControl(d, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+func (d *Daemon) start(ctx context.Context, l listeners) {
+	serve := func(name string, ln net.Listener, f func(net.Listener) error) {
+		if ln == nil {
+			return
+		}
+		go func() {
+			if err := f(ln); err != nil && !d.stopping.Load() {
+				d.Log.Error().Err(err).Str("listener", name).Msg("daemon: listener failed")
+			}
+		}()
+	}
+	serve("Peer", l.peer, d.server.Serve)
+	serve("Gateway", l.gateway, d.gateway.Serve)
+	serve("Operator", l.operator, d.operator.Serve)
+	serve("Metrics", l.metrics, d.operator.ServeMetrics)
+	go d.lease.Run(ctx)
+	go d.watcher.Run(ctx, func(err error) {
+		d.Log.Debug().Err(err).Msg("config: the store does not confirm the configuration")
+	})
+	go d.gossip(ctx)
+	go d.control.run(ctx)
+}
+
+// shutdown ends the daemon in the order that cuts no request: readiness, then
+// the gateway, then ownership.
+func (d *Daemon) shutdown(cancel context.CancelFunc) {
+	d.Log.Info().Msg("daemon: shutting down")
+	d.stopping.Store(true)
+	d.gateway.Drain()
+	time.Sleep(balancerNotice)
+	limit := guavaconfig.Seconds(d.Settings.Intervals.ShutdownSeconds)
+	ctx, done := context.WithTimeout(context.Background(), limit)
+	if err := d.gateway.Shutdown(ctx); err != nil {
+		d.Log.Error().Err(err).Msg("daemon: requests were still in progress at the end of the shutdown")
+	}
+	done()
+	ctx, done = context.WithTimeout(context.Background(), releaseTimeout)
+	if err := d.lease.Close(ctx); err != nil {
+		d.Log.Warn().Err(err).Msg("daemon: partitions were not released; they are taken over after their lease")
+	}
+	_ = d.operator.Shutdown(ctx)
+	done()
+	cancel()
+	d.server.Close()
+	d.peers.Close()
+	d.Log.Info().Msg("daemon: stopped")
+}
--- /dev/null
+++ b/guavadaemon/dev.go
@@ -0,0 +1,35 @@
+package guavadaemon
+
+import (
+	"context"
+	"time"
+
+	"guavascale.example"
+	"guavascale.example/guavaconfig"
+)
+
+const devRetry = 200 * time.Millisecond
+
+// DeclareForDev declares a service and a job through the operators' backend,
+// waiting until the daemon owns its shards.
+func (d *Daemon) DeclareForDev(ctx context.Context, svc guavascale.Service, job guavascale.Job) error {
+	b := &backend{d}
+	for {
+		cfg, ok := d.watcher.Config()
+		if _, home := b.chooseHome(job.Size); ok && home {
+			change := guavaconfig.Change{
+				ID: "dev-" + svc.Name, Based: cfg.Version, Kind: guavaconfig.PutService, Service: &svc,
+			}
+			if _, err := d.watcher.Submit(ctx, change); err != nil {
+				return err
+			}
+			_, err := b.DeclareJob(ctx, job)
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(devRetry):
+		}
+	}
+}
--- /dev/null
+++ b/guavadaemon/gossip.go
@@ -0,0 +1,163 @@
+package guavadaemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"guavascale.example"
+	"guavascale.example/guavaclaim"
+	"guavascale.example/guavaconfig"
+)
+
+type (
+	// local answers peers.
+	local struct{ d *Daemon }
+
+	// remoteClaims reaches the owners of claim partitions on other daemons.
+	remoteClaims struct{ d *Daemon }
+)
+
+const (
+	// gossipFanout is the number of peers of one round.
+	gossipFanout = 8
+	// seedInterval is the time between exchanges with a seed peer, which join
+	// parts of the system that lost sight of each other.
+	seedInterval = 10 * time.Second
+)
+
+var _ guavaclaim.Remote = (*remoteClaims)(nil)
+
+// gossip exchanges summaries with peers in rounds, and at once when a newer
+// configuration was adopted.
+func (d *Daemon) gossip(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	ticker := time.NewTicker(guavaconfig.Seconds(d.Settings.Intervals.GossipSeconds))
+	defer ticker.Stop()
+	var seedsNext time.Time
+	for {
+		now := d.clock.Now()
+		targets := d.members.Targets(now, gossipFanout, rng)
+		if len(d.Settings.SeedPeers) > 0 && (len(targets) == 0 || now.After(seedsNext)) {
+			seed := d.Settings.SeedPeers[rng.IntN(len(d.Settings.SeedPeers))]
+			if seed != d.addresses.Peer && !slices.Contains(targets, seed) {
+				targets = append(targets, seed)
+			}
+			seedsNext = now.Add(seedInterval)
+		}
+		for _, addr := range targets {
+			d.peerPool.Submit(func() { d.exchange(ctx, addr) })
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-d.newConfig:
+		}
+	}
+}
+
+func (d *Daemon) exchange(ctx context.Context, addr string) {
+	self := d.members.Self()
+	if self.Instance == "" {
+		return
+	}
+	if cfg, ok := d.watcher.Config(); ok {
+		self.ConfigVersion = max(self.ConfigVersion, cfg.Version)
+	}
+	list, err := d.peers.Exchange(ctx, addr, self, d.members.Digest())
+	if err != nil {
+		d.Log.Debug().Err(err).Str("peer", addr).Msg("peer: the exchange failed")
+		return
+	}
+	d.members.Merge(d.clock.Now(), list)
+	for _, s := range list {
+		d.adoptConfig(ctx, s)
+	}
+}
+
+// adoptConfig fetches a peer's configuration when it is newer. It does not
+// extend the right to start tasks, which only a read of the store does.
+func (d *Daemon) adoptConfig(ctx context.Context, s guavascale.Summary) {
+	cfg, ok := d.watcher.Config()
+	if ok && cfg.Version >= s.ConfigVersion {
+		return
+	}
+	next, err := d.peers.Config(ctx, s.PeerAddress)
+	if err != nil || next == nil {
+		return
+	}
+	if d.watcher.Accept(*next) {
+		d.Log.Info().Uint64("version", next.Version).Str("from", s.Daemon).Msg("config: adopted from a peer")
+	}
+}
+
+func (l *local) Config() *guavascale.Config {
+	cfg, ok := l.d.watcher.Config()
+	if !ok {
+		return nil
+	}
+	return &cfg
+}
+
+func (l *local) Heard(s guavascale.Summary) {
+	l.d.peerPool.Submit(func() { l.d.adoptConfig(context.Background(), s) })
+}
+
+func (l *local) Claims() guavascale.Claims { return l.d.claims.Local }
+
+// Work collects the content of the owned shards on the control goroutine.
+func (l *local) Work(ctx context.Context) (guavascale.Work, error) {
+	done := make(chan guavascale.Work, 1)
+	l.d.mail.post(func() {
+		var w guavascale.Work
+		for _, o := range l.d.control.shards {
+			if o.shard == nil {
+				continue
+			}
+			w.Tasks = append(w.Tasks, o.shard.Tasks()...)
+			w.Jobs = append(w.Jobs, o.shard.Jobs()...)
+			w.Workers = append(w.Workers, o.shard.Workers()...)
+		}
+		done <- w
+	})
+	select {
+	case w := <-done:
+		return w, nil
+	case <-ctx.Done():
+		return guavascale.Work{}, ctx.Err()
+	}
+}
+
+func (r *remoteClaims) owner(p guavascale.Partition) (string, error) {
+	row, ok := r.d.lease.Rights().Owner(p)
+	if !ok || row.Address == "" {
+		return "", &guavascale.LeaseError{Partition: p, Reason: "no daemon owns the partition"}
+	}
+	return row.Address, nil
+}
+
+func (r *remoteClaims) Claim(ctx context.Context, p guavascale.Partition, key string) (guavascale.ClaimToken, error) {
+	addr, err := r.owner(p)
+	if err != nil {
+		return guavascale.ClaimToken{}, err
+	}
+	return r.d.peers.Claim(ctx, addr, key)
+}
+
+func (r *remoteClaims) Finish(ctx context.Context, t guavascale.ClaimToken, a guavascale.Answer) error {
+	addr, err := r.owner(t.Partition)
+	if err != nil {
+		return err
+	}
+	return r.d.peers.Finish(ctx, addr, t, a)
+}
+
+func (r *remoteClaims) Release(ctx context.Context, t guavascale.ClaimToken) error {
+	addr, err := r.owner(t.Partition)
+	if err != nil {
+		return err
+	}
+	return r.d.peers.Release(ctx, addr, t)
+}
--- /dev/null
+++ b/guavadaemon/jobs.go
@@ -0,0 +1,247 @@
+package guavadaemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+
+	"guavascale.example"
+	"guavascale.example/guavaconfig"
+	"guavascale.example/guavaoperator"
+	"guavascale.example/guavashard"
+)
+
+const (
+	jobPage = 500
+	// cancelAttempts bounds the attempts to change a job's row while its home
+	// shard changes it too.
+	cancelAttempts = 5
+)
+
+var errNoShard = errors.New("no shard is known yet")
+
+// DeclareJob stores the job's row and its inbox row in one commit, so that the
+// job exists exactly when its home shard will learn of it.
+func (b *backend) DeclareJob(ctx context.Context, job guavascale.Job) (guavaoperator.JobStatus, error) {
+	home, ok := b.chooseHome(job.Size)
+	if !ok {
+		return guavaoperator.JobStatus{}, &guavascale.UnavailableError{System: "scheduler", Op: "DeclareJob", Cause: errNoShard}
+	}
+	job.Shard = home
+	job.Declared = b.d.clock.Now().UTC()
+	row, err := json.Marshal(guavascale.JobStatus{Job: job})
+	if err != nil {
+		return guavaoperator.JobStatus{}, err
+	}
+	item, err := json.Marshal(guavascale.InboxItem{Job: &job})
+	if err != nil {
+		return guavaoperator.JobStatus{}, err
+	}
+	key := guavashard.JobKey(job.ID)
+	_, err = b.d.Platform.Table.Commit(ctx, guavascale.Commit{
+		ID:         guavaconfig.NewID(),
+		Conditions: []guavascale.Condition{{Key: key}},
+		Writes: []guavascale.Write{
+			{Key: key, Value: row},
+			{Key: guavashard.InboxKey(home, "job-"+job.ID), Value: item},
+		},
+	})
+	var taken *guavascale.ConditionError
+	var down *guavascale.UnavailableError
+	switch {
+	case err == nil:
+		return jobStatus(guavascale.JobStatus{Job: job}, nil), nil
+	case errors.As(err, &taken), errors.As(err, &down) && down.MayHaveApplied:
+		return b.storedJob(ctx, job, err)
+	default:
+		return guavaoperator.JobStatus{}, err
+	}
+}
+
+// storedJob settles a declaration whose row exists already or whose answer was
+// lost.
+func (b *backend) storedJob(ctx context.Context, job guavascale.Job, cause error) (guavaoperator.JobStatus, error) {
+	row, err := b.d.Platform.Table.Get(ctx, guavashard.JobKey(job.ID))
+	if err != nil {
+		return guavaoperator.JobStatus{}, cause
+	}
+	st, err := decodeStatus(row)
+	if err != nil {
+		return guavaoperator.JobStatus{}, err
+	}
+	if !sameJob(st.Job, job) {
+		return guavaoperator.JobStatus{}, &guavascale.ConditionError{Key: row.Key, Have: row.Version}
+	}
+	return jobStatus(st, nil), nil
+}
+
+// sameJob compares what the operator declared.
+func sameJob(a, b guavascale.Job) bool {
+	a.Shard, a.Declared, a.Cancelled = b.Shard, b.Declared, b.Cancelled
+	return a == b
+}
+
+// chooseHome returns the better of two random shards in service, by free
+// capacity; without summaries any shard of the host list.
+func (b *backend) chooseHome(size guavascale.Resources) (guavascale.Partition, bool) {
+	cfg, _ := b.d.watcher.Config()
+	var room, all []guavascale.PartitionSummary
+	for _, m := range b.d.members.Live(b.d.clock.Now()) {
+		for _, p := range m.Partitions {
+			if cfg.ZonesOut[p.Zone] {
+				continue
+			}
+			all = append(all, p)
+			if p.Free.Fits(size) {
+				room = append(room, p)
+			}
+		}
+	}
+	if len(room) == 0 {
+		room = all
+	}
+	if len(room) == 0 {
+		return "", false
+	}
+	x, y := room[rand.IntN(len(room))], room[rand.IntN(len(room))]
+	if y.Total.MilliCores > x.Total.MilliCores {
+		x = y
+	}
+	return x.Partition, true
+}
+
+// CancelJob marks the job's row and puts the cancellation into the inbox of its
+// home shard, in one commit.
+func (b *backend) CancelJob(ctx context.Context, _, job string) (guavaoperator.JobStatus, error) {
+	key := guavashard.JobKey(job)
+	for range cancelAttempts {
+		row, err := b.d.Platform.Table.Get(ctx, key)
+		if err != nil {
+			return guavaoperator.JobStatus{}, notFoundJob(err, job)
+		}
+		st, err := decodeStatus(row)
+		if err != nil || st.Ended || st.Job.Cancelled {
+			return jobStatus(st, nil), err
+		}
+		st.Job.Cancelled = true
+		value, err := json.Marshal(st)
+		if err != nil {
+			return guavaoperator.JobStatus{}, err
+		}
+		item, err := json.Marshal(guavascale.InboxItem{Cancel: job})
+		if err != nil {
+			return guavaoperator.JobStatus{}, err
+		}
+		_, err = b.d.Platform.Table.Commit(ctx, guavascale.Commit{
+			ID:         guavaconfig.NewID(),
+			Conditions: []guavascale.Condition{{Key: key, Version: row.Version}},
+			Writes: []guavascale.Write{
+				{Key: key, Value: value},
+				{Key: guavashard.InboxKey(st.Job.Shard, "cancel-"+job), Value: item},
+			},
+		})
+		var changed *guavascale.ConditionError
+		if err == nil || !errors.As(err, &changed) {
+			return jobStatus(st, nil), err
+		}
+	}
+	return guavaoperator.JobStatus{}, &guavascale.UnavailableError{
+		System: "table", Op: "CancelJob", Cause: errors.New("the job's row kept changing"),
+	}
+}
+
+func notFoundJob(err error, job string) error {
+	var missing *guavascale.NotFoundError
+	if errors.As(err, &missing) {
+		return &guavascale.NotFoundError{Kind: "job", Name: job}
+	}
+	return err
+}
+
+func (b *backend) Job(ctx context.Context, job string) (guavaoperator.JobStatus, error) {
+	row, err := b.d.Platform.Table.Get(ctx, guavashard.JobKey(job))
+	if err != nil {
+		return guavaoperator.JobStatus{}, notFoundJob(err, job)
+	}
+	st, err := decodeStatus(row)
+	if err != nil || st.Ended {
+		return jobStatus(st, nil), err
+	}
+	all, _ := b.work(ctx)
+	return jobStatus(st, tasksByJob(all.Tasks)[job]), nil
+}
+
+func (b *backend) Jobs(ctx context.Context, f guavaoperator.JobFilter) (guavaoperator.JobPage, error) {
+	all, missing := b.work(ctx)
+	byJob := tasksByJob(all.Tasks)
+	page := guavaoperator.JobPage{Missing: missing}
+	after := guavashard.JobKey(f.After)
+	for {
+		rows, err := b.d.Platform.Table.Scan(ctx, "Job/", after, jobPage)
+		if err != nil {
+			return page, err
+		}
+		for _, row := range rows {
+			after = row.Key
+			st, err := decodeStatus(row)
+			if err != nil {
+				return page, err
+			}
+			s := jobStatus(st, byJob[st.Job.ID])
+			if f.Team != "" && s.Job.Team != f.Team || f.State != "" && s.State != f.State {
+				continue
+			}
+			if len(page.Jobs) == limit(f.Page) {
+				page.More = true
+				return page, nil
+			}
+			page.Jobs = append(page.Jobs, s)
+		}
+		if len(rows) < jobPage {
+			return page, nil
+		}
+	}
+}
+
+func tasksByJob(tasks []guavascale.Task) map[string][]guavascale.Task {
+	m := make(map[string][]guavascale.Task)
+	for _, t := range tasks {
+		if t.Job != "" {
+			m[t.Job] = append(m[t.Job], t)
+		}
+	}
+	return m
+}
+
+// jobStatus joins a job's row with its tasks in the shards.
+func jobStatus(st guavascale.JobStatus, tasks []guavascale.Task) guavaoperator.JobStatus {
+	s := guavaoperator.JobStatus{
+		Job: st.Job, State: guavaoperator.JobActive, Tasks: make(map[guavascale.TaskState]int),
+	}
+	if st.Ended {
+		s.Tasks[guavascale.TaskDone] = st.Done
+		s.Tasks[guavascale.TaskFailed] = st.Failed
+		s.Tasks[guavascale.TaskCancelled] = st.Cancelled
+		switch {
+		case st.Failed > 0:
+			s.State = guavaoperator.JobFailed
+		case st.Cancelled > 0:
+			s.State = guavaoperator.JobCancelled
+		default:
+			s.State = guavaoperator.JobDone
+		}
+		return s
+	}
+	for i := range tasks {
+		t := &tasks[i]
+		s.Tasks[t.State]++
+		if t.Reason != "" && (s.Reason == "" || t.State == guavascale.TaskUnplaceable) {
+			s.Reason = t.Reason
+		}
+	}
+	if s.Tasks[guavascale.TaskUnplaceable] > 0 && s.Tasks[guavascale.TaskRunning] == 0 {
+		s.State = guavaoperator.JobUnplaceable
+	}
+	return s
+}
--- /dev/null
+++ b/guavadaemon/publish.go
@@ -0,0 +1,52 @@
+package guavadaemon
+
+import (
+	"strings"
+	"time"
+
+	"guavascale.example"
+	"guavascale.example/guavagateway"
+)
+
+// publish gives the gateway a new snapshot and the peers a new summary.
+func (c *control) publish(now time.Time, cfg *guavascale.Config, preset guavascale.Preset) {
+	c.sequence++
+	self := guavascale.Summary{
+		Daemon: c.d.Settings.Name, Instance: c.d.instance(), Sequence: c.sequence,
+		PeerAddress: c.d.addresses.Peer, GatewayAddress: c.d.addresses.Gateway,
+		OperatorAddress: c.d.addresses.Operator, Zone: c.d.Settings.Zone,
+		Leaving: c.d.stopping.Load(), ConfigVersion: cfg.Version,
+	}
+	for _, o := range c.shards {
+		if o.shard != nil {
+			self.Partitions = append(self.Partitions, o.shard.Summary())
+		}
+	}
+	c.d.members.SetSelf(self)
+	s := &guavagateway.Snapshot{
+		Daemon: c.d.Settings.Name, Zone: c.d.Settings.Zone, Services: cfg.Services,
+		ZonesOut: cfg.ZonesOut, Preset: preset,
+	}
+	for _, m := range c.d.members.Live(now) {
+		// A leaving daemon still completes requests and keeps its slots.
+		s.Daemons = append(s.Daemons, m.Daemon)
+	}
+	leaving := make(map[guavascale.WorkerID]bool)
+	for _, w := range c.workers {
+		leaving[w.ID] = w.Leaving
+	}
+	for i := range c.others {
+		for _, e := range c.others[i].Endpoints {
+			e.Leaving = e.Leaving || leaving[e.Worker]
+			s.Endpoints = append(s.Endpoints, e)
+		}
+	}
+	c.d.gateway.Set(s)
+}
+
+// instance names this run of the daemon towards peers.
+func (d *Daemon) instance() string {
+	return d.Settings.Name + "-" + d.started.UTC().Format("20060102T150405.000000000")
+}
+
+func isClaim(p guavascale.Partition) bool { return strings.HasPrefix(string(p), "Claim-") }
--- /dev/null
+++ b/guavadaemon/state.go
@@ -0,0 +1,103 @@
+package guavadaemon
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"runtime"
+
+	"guavascale.example"
+	"guavascale.example/guavagateway"
+	"guavascale.example/guavashard"
+)
+
+type (
+	// State is the state dump of a daemon. It holds no credentials.
+	State struct {
+		Daemon        string
+		Instance      string
+		Zone          guavascale.Zone
+		UptimeSeconds float64
+		Stopping      bool
+		Addresses     Addresses
+		ConfigVersion uint64
+		// ConfigAgeMs is the time since the store last confirmed the
+		// configuration, in milliseconds; -1 when it never did.
+		ConfigAgeMs int64
+		Preset      string
+		ZonesOut    []guavascale.Zone
+		Goroutines  int
+		HeapBytes   uint64
+		Gateway     guavagateway.State
+		Members     []guavascale.Summary
+		Held        []guavascale.Partition
+		Shards      []ShardState
+	}
+
+	// ShardState is the part of a state dump on one shard.
+	ShardState struct {
+		Partition guavascale.Partition
+		Epoch     uint64
+		// Open is set once the log was read.
+		Open     bool
+		Sequence uint64
+		Pending  int
+		Counters guavashard.Counters
+		Summary  guavascale.PartitionSummary
+	}
+)
+
+// State collects the state dump.
+func (d *Daemon) State(ctx context.Context) (State, error) {
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	st := State{
+		Daemon: d.Settings.Name, Instance: d.instance(), Zone: d.Settings.Zone,
+		UptimeSeconds: d.clock.Now().Sub(d.started).Seconds(), Stopping: d.stopping.Load(),
+		Addresses: d.addresses, ConfigAgeMs: -1,
+		Goroutines: runtime.NumGoroutine(), HeapBytes: mem.HeapAlloc,
+		Gateway: d.gateway.State(), Members: d.members.Live(d.clock.Now()), Held: d.lease.Rights().Held(),
+	}
+	if cfg, ok := d.watcher.Config(); ok {
+		st.ConfigVersion, st.Preset = cfg.Version, cfg.Preset
+		for z := range cfg.ZonesOut {
+			st.ZonesOut = append(st.ZonesOut, z)
+		}
+	}
+	if age, ok := d.watcher.Age(); ok {
+		st.ConfigAgeMs = age.Milliseconds()
+	}
+	done := make(chan []ShardState, 1)
+	d.mail.post(func() { done <- d.control.shardStates() })
+	select {
+	case st.Shards = <-done:
+		return st, nil
+	case <-ctx.Done():
+		return st, ctx.Err()
+	}
+}
+
+func (c *control) shardStates() []ShardState {
+	list := make([]ShardState, 0, len(c.shards))
+	for _, o := range c.shards {
+		s := ShardState{Partition: o.name, Epoch: o.epoch, Open: o.shard != nil, Sequence: o.sequence}
+		if o.shard != nil {
+			s.Summary = o.shard.Summary()
+			s.Pending = s.Summary.Pending
+			s.Counters = o.shard.Counters
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// Dump writes the state dump as JSON.
+func (d *Daemon) Dump(ctx context.Context, w io.Writer) error {
+	st, err := d.State(ctx)
+	if err != nil {
+		return err
+	}
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(st)
+}
--- a/guavalease/driver.go
+++ b/guavalease/driver.go
@@ -147,7 +147,7 @@
 			out = d.machine.Tick(d.opt.Clock.Now())
 		}
 		for _, e := range out.Events {
-			d.opt.Logger.Info().Str("Partition", string(e.Partition)).Uint64("Epoch", e.Epoch).
+			d.opt.Logger.Debug().Str("Partition", string(e.Partition)).Uint64("Epoch", e.Epoch).
 				Str("Reason", e.Reason).Msg("lease: " + string(e.Kind))
 		}
 		queue = append(queue, out.Events...)
--- a/guavalease/driver_test.go
+++ b/guavalease/driver_test.go
@@ -131,7 +131,15 @@
 		require.ErrorAs(t, err, &cond)
 		link.setCut(false)
 		time.Sleep(5 * time.Second)
-		_, err = a.May("Claim-0")
+		// The new owner may have handed the partition back by now, which takes
+		// another epoch; the old right must never hold again.
+		again, err := a.May("Claim-0")
+		if err != nil {
+			require.ErrorAs(t, err, &lease)
+			return
+		}
+		assert.Greater(t, again.Epoch, taken.Epoch)
+		_, err = b.May("Claim-0")
 		require.ErrorAs(t, err, &lease)
 	})
 }
--- a/guavalease/rights.go
+++ b/guavalease/rights.go
@@ -13,6 +13,8 @@
 		Epoch uint64
 		// Owner is the condition that each commit of the owner carries.
 		Owner guavascale.Condition
+		// Until is the end of the right unless the session is renewed.
+		Until time.Time
 	}
 
 	// Rights answers whether this daemon may act for a partition. It is safe
@@ -43,6 +45,7 @@
 	if !now.Before(s.until) {
 		return Right{}, &guavascale.LeaseError{Partition: p, Reason: "the session lease lapsed"}
 	}
+	right.Until = s.until
 	return right, nil
 }
 
--- a/guavalog/log.go
+++ b/guavalog/log.go
@@ -157,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	if r != l.right {
+	if r.Epoch != l.right.Epoch || r.Owner != l.right.Owner {
 		return &guavascale.LeaseError{Partition: l.opt.Partition, Reason: "the owner row changed"}
 	}
 	return nil
--- a/guavapeer/client.go
+++ b/guavapeer/client.go
@@ -40,11 +40,11 @@
 	return out.Config, err
 }
 
-// Work returns the tasks and unfinished jobs of the peer's shards.
-func (c *Client) Work(ctx context.Context, addr string) ([]guavascale.Task, []guavascale.JobStatus, error) {
+// Work returns the content of the peer's shards.
+func (c *Client) Work(ctx context.Context, addr string) (guavascale.Work, error) {
 	var out workOut
 	err := c.call(ctx, addr, methodWork, struct{}{}, &out)
-	return out.Tasks, out.Jobs, err
+	return out.Work, err
 }
 
 // Claim claims a key at the peer that owns its partition.
--- a/guavapeer/server.go
+++ b/guavapeer/server.go
@@ -37,8 +37,8 @@
 		Config() *guavascale.Config
 		// Heard is called after an exchange with a peer.
 		Heard(s guavascale.Summary)
-		// Work returns the tasks and unfinished jobs of the owned shards.
-		Work(ctx context.Context) ([]guavascale.Task, []guavascale.JobStatus, error)
+		// Work returns the content of the owned shards.
+		Work(ctx context.Context) (guavascale.Work, error)
 		// Claims serves the claim partitions that the daemon owns.
 		Claims() guavascale.Claims
 	}
@@ -146,8 +146,8 @@
 	case methodClaim, methodFinish, methodRelease:
 		return s.claim(ctx, env)
 	case methodWork:
-		tasks, jobs, err := s.Local.Work(ctx)
-		return workOut{tasks, jobs}, err
+		work, err := s.Local.Work(ctx)
+		return workOut{work}, err
 	default:
 		return nil, fmt.Errorf("unknown message %q", env.Method)
 	}
--- a/guavapeer/wire.go
+++ b/guavapeer/wire.go
@@ -65,8 +65,7 @@
 	}
 
 	workOut struct {
-		Tasks []guavascale.Task
-		Jobs  []guavascale.JobStatus
+		Work guavascale.Work
 	}
 )
 
--- a/guavashard/report.go
+++ b/guavashard/report.go
@@ -10,7 +10,7 @@
 // HandleReport takes a worker's answer to a message that was sent at the given
 // time, or the error of the call.
 func (s *Shard) HandleReport(now, sentAt time.Time, id guavascale.WorkerID, r guavascale.Report, err error) Effects {
-	s.now = now
+	s.now = later(s.now, now)
 	w := s.workers[id]
 	if w == nil {
 		return Effects{}
--- a/guavashard/summary.go
+++ b/guavashard/summary.go
@@ -111,3 +111,23 @@
 	}
 	return list
 }
+
+// Workers returns the state of the workers of the shard.
+func (s *Shard) Workers() []guavascale.WorkerStatus {
+	list := make([]guavascale.WorkerStatus, 0, len(s.order))
+	for _, w := range s.order {
+		st := guavascale.WorkerStatus{
+			Worker: w.worker, Shard: s.Name, Incarnation: w.incarnation,
+			Free: w.worker.Capacity.Sub(w.used), Tasks: len(w.tasks),
+			Silent: !s.responsive(w), ReportAgeMs: -1,
+		}
+		if !w.answered.IsZero() {
+			st.ReportAgeMs = s.now.Sub(w.answered).Milliseconds()
+		}
+		if left := w.blockedUntil.Sub(s.now); left > 0 {
+			st.BackoffMs = left.Milliseconds()
+		}
+		list = append(list, st)
+	}
+	return list
+}
--- a/worker.go
+++ b/worker.go
@@ -33,6 +33,32 @@
 		Leaving bool
 	}
 
+	// WorkerStatus is a worker as the owner of its shard sees it.
+	WorkerStatus struct {
+		Worker      Worker
+		Shard       Partition
+		Incarnation string
+		// Free is the capacity that no attempt counts against.
+		Free Resources
+		// Tasks is the number of attempts that count against the capacity.
+		Tasks int
+		// Silent is set when the worker did not answer recently.
+		Silent bool
+		// BackoffMs is how long the worker gets no more starts because tasks
+		// failed on it, in milliseconds.
+		BackoffMs int64
+		// ReportAgeMs is the age of the last report, in milliseconds; -1 when
+		// there was none.
+		ReportAgeMs int64
+	}
+
+	// Work is what the owners of shards tell of their content.
+	Work struct {
+		Tasks   []Task
+		Jobs    []JobStatus
+		Workers []WorkerStatus
+	}
+
 	// Endpoint is a service instance that can be sent requests.
 	Endpoint struct {
 		Service string
