--- a/guavaoperator/client.go
+++ b/guavaoperator/client.go
@@ -64,6 +64,16 @@
 	return post[ChangeResult](ctx, c, "/Config/Changes", change)
 }
 
+// Preset returns a preset with its defaults filled in.
+func (c *Client) Preset(ctx context.Context, name string) (guavascale.Preset, error) {
+	return fetch[guavascale.Preset](ctx, c, "/Presets/"+url.PathEscape(name))
+}
+
+// Service returns a declared service.
+func (c *Client) Service(ctx context.Context, name string) (guavascale.Service, error) {
+	return fetch[guavascale.Service](ctx, c, "/Services/"+url.PathEscape(name))
+}
+
 // Zones lists the availability zones.
 func (c *Client) Zones(ctx context.Context) (ZoneList, error) {
 	return fetch[ZoneList](ctx, c, "/Zones")
--- a/guavaoperator/errors.go
+++ b/guavaoperator/errors.go
@@ -64,9 +64,9 @@
 
 func (e *CredentialError) Error() string { return "the credential is missing or unknown" }
 
-// describe returns status and body for an error. A mutating call that failed
+// Describe returns status and body for an error. A mutating call that failed
 // for a reason without a type may have taken effect.
-func describe(err error, mutating bool) (int, ErrorBody) {
+func Describe(err error, mutating bool) (int, ErrorBody) {
 	body := ErrorBody{Error: err.Error()}
 	var (
 		invalid     *guavascale.ValidationError
--- a/guavaoperator/server.go
+++ b/guavaoperator/server.go
@@ -213,7 +213,7 @@
 }
 
 func fail(rc *fasthttp.RequestCtx, err error, mutating bool) {
-	status, body := describe(err, mutating)
+	status, body := Describe(err, mutating)
 	data, err := json.Marshal(body)
 	if err != nil {
 		rc.SetStatusCode(fasthttp.StatusInternalServerError)
