guavaoperator: report a reverted or broken configuration row as unavailable

Cause: a row that is no valid document was reported as the operator's own invalid input (400, exit code 2), and a reverted row as an unknown outcome (500, exit code 6), although nothing was written in either case. Also: a listener on an unspecified address with port 0 needs an advertised address, and a client's timeout covers all addresses. Ruled out: keeping the order of error matches and unwrapping in guavaconfig, since other errors wrap too. After: 503 with MayHaveApplied false; tests cover both, and the broken row in the watcher.

--- a/cmd/guavactl/output.go
+++ b/cmd/guavactl/output.go
@@ -96,12 +96,13 @@
 		unavailable *guavascale.UnavailableError
 	)
 	switch {
-	case errors.As(err, &usage), errors.As(err, &invalid):
-		return exitUsage
+	// UnavailableError is matched first, since it may wrap another error.
 	case errors.As(err, &unavailable) && unavailable.MayHaveApplied:
 		return exitUnknown
 	case errors.As(err, &unavailable):
 		return exitUnavailable
+	case errors.As(err, &usage), errors.As(err, &invalid):
+		return exitUsage
 	case errors.As(err, &conflict), errors.As(err, &status) && status.Status == 409:
 		return exitConflict
 	case errors.As(err, &missing):
--- a/guavaconfig/settings_test.go
+++ b/guavaconfig/settings_test.go
@@ -34,6 +34,7 @@
 		"host name":            {required3 + `, "SeedPeers": ["peer:1"]`, "SeedPeers[0]", "an IP address"},
 		"unspecified seed":     {required3 + `, "SeedPeers": ["0.0.0.0:1"]`, "SeedPeers[0]", "an IP address"},
 		"unreachable address":  {required3 + `, "Peer": {"Listen": "0.0.0.0:7402"}`, "Peer.Advertise", "others can reach"},
+		"unreachable port 0":   {required3 + `, "Peer": {"Listen": "[::]:0"}`, "Peer.Advertise", "others can reach"},
 		"listen without port":  {required3 + `, "Gateway": {"Listen": "10.0.0.1"}`, "Gateway.Listen", "an IP address"},
 		"too large":            {required3 + `, "Limits": {"BodyBytes": 68000000}`, "Limits.BodyBytes", "1024 to 67108864"},
 		"negative":             {required3 + `, "Limits": {"ReadSeconds": -1}`, "Limits.ReadSeconds", "0.1 to 300"},
--- a/guavaconfig/validate.go
+++ b/guavaconfig/validate.go
@@ -76,7 +76,8 @@
 	if err := validateAddress(name+".Listen", l.Listen, true); err != nil {
 		return err
 	}
-	if l.Advertise == "" {
+	listen, _ := netip.ParseAddrPort(l.Listen)
+	if l.Advertise == "" && !listen.Addr().IsUnspecified() {
 		return nil
 	}
 	addr, err := netip.ParseAddrPort(l.Advertise)
--- a/guavaconfig/watcher.go
+++ b/guavaconfig/watcher.go
@@ -120,7 +120,8 @@
 
 // Refresh reads the row once and adopts what it holds. When the row does not
 // exist and never did, it creates the first document. It fails with
-// UnavailableError, RevertError or ValidationError.
+// UnavailableError, which wraps ValidationError when the row is not a valid
+// document, or with RevertError.
 func (w *Watcher) Refresh(ctx context.Context) error {
 	// A read that takes longer than the authority lasts confirms nothing.
 	ctx, cancel := context.WithTimeout(ctx, w.authority())
@@ -141,7 +142,7 @@
 	}
 	c, err := w.parse(row)
 	if err != nil {
-		return row, c, fmt.Errorf("row %q: %w", Key, err)
+		return row, c, &guavascale.UnavailableError{System: "table", Op: "read of " + Key, Cause: err}
 	}
 	return row, c, w.confirm(c, start)
 }
--- a/guavaconfig/watcher_test.go
+++ b/guavaconfig/watcher_test.go
@@ -123,6 +123,25 @@
 	})
 }
 
+// Guards against a broken row that replaces the document or gives authority.
+func TestBrokenRow(t *testing.T) {
+	table := &memTable{rows: map[string]guavascale.Row{Key: {Key: Key, Version: 7, Value: []byte(`{"Version": 2}`)}}}
+	w := &Watcher{Table: table}
+	var (
+		unavailable *guavascale.UnavailableError
+		invalid     *guavascale.ValidationError
+	)
+	err := w.Refresh(t.Context())
+	require.ErrorAs(t, err, &unavailable)
+	require.ErrorAs(t, err, &invalid)
+	_, err = w.Submit(t.Context(), out("a", 2, "Brest"))
+	require.ErrorAs(t, err, &unavailable)
+	assert.False(t, unavailable.MayHaveApplied)
+	_, ok := w.MayStart(2)
+	assert.False(t, ok)
+	assert.Equal(t, uint64(7), table.rows[Key].Version)
+}
+
 // Guards against changes that are lost, applied twice or reported wrongly when
 // the table loses answers.
 func TestSubmitWithLostAnswers(t *testing.T) {
--- a/guavaoperator/client.go
+++ b/guavaoperator/client.go
@@ -158,14 +158,15 @@
 // also sent to the next one when the answer does not arrive.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, out any) error {
 	c.once.Do(c.init)
+	end := c.deadline(ctx)
 	last := errNoAddress
 	for _, address := range c.Addresses {
-		err := c.doOne(ctx, address, method, path, body, out)
+		err := c.doOne(end, address, method, path, body, out)
 		var lost *guavascale.UnavailableError
 		if !errors.As(err, &lost) || lost.System != address {
 			return err
 		}
-		if lost.MayHaveApplied || ctx.Err() != nil {
+		if lost.MayHaveApplied || ctx.Err() != nil || !time.Now().Before(end) {
 			return err
 		}
 		last = err
@@ -173,7 +174,7 @@
 	return &guavascale.UnavailableError{System: "every daemon address", Op: method + " " + path, Cause: last}
 }
 
-func (c *Client) doOne(ctx context.Context, address, method, path string, body []byte, out any) error {
+func (c *Client) doOne(end time.Time, address, method, path string, body []byte, out any) error {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -182,7 +183,7 @@
 	req.Header.SetContentType("application/json")
 	req.Header.Set(fasthttp.HeaderAuthorization, scheme+string(c.Token))
 	req.SetBody(body)
-	err := c.http.DoDeadline(req, resp, c.deadline(ctx))
+	err := c.http.DoDeadline(req, resp, end)
 	if err == nil && resp.StatusCode() == fasthttp.StatusOK {
 		err = decodeAnswer(resp.Body(), out)
 	}
--- a/guavaoperator/client_test.go
+++ b/guavaoperator/client_test.go
@@ -20,13 +20,15 @@
 // client: exit codes and repeats depend on them.
 func TestErrorsReachTheClient(t *testing.T) {
 	tests := map[string]struct{ err, want error }{
-		"validation":  {&guavascale.ValidationError{Field: "F", Value: "1", Allowed: "2"}, nil},
-		"not found":   {&guavascale.NotFoundError{Kind: "preset", Name: "peak"}, nil},
-		"conflict":    {&guavascale.ConflictError{Based: 3, InForce: 5}, nil},
-		"other job":   {&guavascale.ConditionError{Key: "Job/a"}, &StatusError{409, `row "Job/a" has version 0, the commit requires 0`}},
-		"store down":  {&guavascale.UnavailableError{System: "table", Op: "Get", Cause: io.EOF}, &guavascale.UnavailableError{System: "table", Op: "Get", Cause: &StatusError{503, "table did not answer Get: EOF"}}},
-		"answer lost": {&guavascale.UnavailableError{System: "table", Op: "Commit", MayHaveApplied: true, Cause: io.EOF}, &guavascale.UnavailableError{System: "table", Op: "Commit", MayHaveApplied: true, Cause: &StatusError{503, "table did not answer Commit: EOF"}}},
-		"unforeseen":  {errors.New("odd"), &guavascale.UnavailableError{MayHaveApplied: true, Cause: &StatusError{500, "odd"}}},
+		"validation":     {&guavascale.ValidationError{Field: "F", Value: "1", Allowed: "2"}, nil},
+		"not found":      {&guavascale.NotFoundError{Kind: "preset", Name: "peak"}, nil},
+		"conflict":       {&guavascale.ConflictError{Based: 3, InForce: 5}, nil},
+		"other job":      {&guavascale.ConditionError{Key: "Job/a"}, &StatusError{409, `row "Job/a" has version 0, the commit requires 0`}},
+		"store down":     {&guavascale.UnavailableError{System: "table", Op: "Get", Cause: io.EOF}, &guavascale.UnavailableError{System: "table", Op: "Get", Cause: &StatusError{503, "EOF"}}},
+		"answer lost":    {&guavascale.UnavailableError{System: "table", Op: "Commit", MayHaveApplied: true, Cause: io.EOF}, &guavascale.UnavailableError{System: "table", Op: "Commit", MayHaveApplied: true, Cause: &StatusError{503, "EOF"}}},
+		"table reverted": {&guavaconfig.RevertError{Held: 3, Found: 2}, &guavascale.UnavailableError{System: "daemon", Op: "the call", Cause: &StatusError{503, "the table holds configuration version 2, but version 3 was in force already"}}},
+		"broken row":     {&guavascale.UnavailableError{System: "table", Op: "Get", Cause: &guavascale.ValidationError{Field: "F"}}, &guavascale.UnavailableError{System: "table", Op: "Get", Cause: &StatusError{503, "field F has value ; allowed: "}}},
+		"unforeseen":     {errors.New("odd"), &guavascale.UnavailableError{System: "daemon", Op: "the call", MayHaveApplied: true, Cause: &StatusError{500, "odd"}}},
 	}
 	b := newBackend()
 	c := &Client{Addresses: []string{start(t, open(b))}, Token: token}
--- a/guavaoperator/errors.go
+++ b/guavaoperator/errors.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 
 	"guavascale.example"
+	"guavascale.example/guavaconfig"
 )
 
 type (
@@ -76,8 +78,20 @@
 		unavailable *guavascale.UnavailableError
 		credential  *CredentialError
 		status      *StatusError
+		lease       *guavascale.LeaseError
+		revert      *guavaconfig.RevertError
 	)
+	// UnavailableError is matched first, since it may wrap another error.
 	switch {
+	case errors.As(err, &unavailable):
+		body.Kind = KindUnavailable
+		body.System, body.Op = unavailable.System, unavailable.Op
+		body.MayHaveApplied = mutating && unavailable.MayHaveApplied
+		return fasthttp.StatusServiceUnavailable, body
+	case errors.As(err, &lease), errors.As(err, &revert):
+		body.Kind = KindUnavailable
+		body.System, body.Op = "daemon", "the call"
+		return fasthttp.StatusServiceUnavailable, body
 	case errors.As(err, &invalid):
 		body.Kind = KindValidation
 		body.Field, body.Value, body.Allowed = invalid.Field, invalid.Value, invalid.Allowed
@@ -89,12 +103,6 @@
 		body.Kind = KindNotFound
 		body.What, body.Name = missing.Kind, missing.Name
 		return fasthttp.StatusNotFound, body
-	// UnavailableError may wrap a conflict, so it is matched before.
-	case errors.As(err, &unavailable):
-		body.Kind = KindUnavailable
-		body.System, body.Op = unavailable.System, unavailable.Op
-		body.MayHaveApplied = mutating && unavailable.MayHaveApplied
-		return fasthttp.StatusServiceUnavailable, body
 	case errors.As(err, &conflict):
 		body.Kind = KindConflict
 		body.Based, body.InForce = conflict.Based, conflict.InForce
@@ -107,6 +115,7 @@
 		return status.Status, body
 	default:
 		body.Kind = KindInternal
+		body.System, body.Op = "daemon", "the call"
 		body.MayHaveApplied = mutating
 		return fasthttp.StatusInternalServerError, body
 	}
@@ -126,10 +135,11 @@
 			return &guavascale.ConflictError{Based: body.Based, InForce: body.InForce}
 		}
 	case KindUnavailable, KindInternal:
-		return &guavascale.UnavailableError{
-			System: body.System, Op: body.Op, MayHaveApplied: body.MayHaveApplied,
-			Cause: &StatusError{Status: status, Message: body.Error},
-		}
+		out := &guavascale.UnavailableError{System: body.System, Op: body.Op, MayHaveApplied: body.MayHaveApplied}
+		// The message of out repeats system and operation.
+		prefix := fmt.Sprintf("%s did not answer %s: ", body.System, body.Op)
+		out.Cause = &StatusError{Status: status, Message: strings.TrimPrefix(body.Error, prefix)}
+		return out
 	}
 	return &StatusError{Status: status, Message: body.Error}
 }
