--- a/guavalog/log_test.go
+++ b/guavalog/log_test.go
@@ -255,6 +255,39 @@
 	return state
 }
 
+// snapshotTable runs a function before the first read of log rows.
+type snapshotTable struct {
+	*memTable
+	before func()
+}
+
+func (s *snapshotTable) Scan(ctx context.Context, prefix, after string, limit int) ([]guavascale.Row, error) {
+	if s.before != nil {
+		before := s.before
+		s.before = nil
+		before()
+	}
+	return s.memTable.Scan(ctx, prefix, after, limit)
+}
+
+// Guards against a recovery that misses rows which an earlier log of the same
+// ownership replaced by a snapshot meanwhile.
+func TestRecoverDuringSnapshot(t *testing.T) {
+	table, objects := newMemTable(), &memObjects{data: map[string][]byte{}}
+	o := take(table, 1)
+	old, _ := open(t, table, objects, o)
+	for i := range 3 {
+		require.NoError(t, (<-appendOne(old, i)).Err)
+	}
+	hooked := &snapshotTable{memTable: table, before: func() {
+		require.NoError(t, old.Snapshot(context.Background(), 3, []byte("state")))
+	}}
+	l := New(Options{Partition: testPartition, Table: hooked, Objects: objects, Right: o.may})
+	rec, err := l.Recover(context.Background())
+	require.NoError(t, err)
+	assert.Equal(t, Recovered{Snapshot: []byte("state"), Sequence: 3}, rec)
+}
+
 // Guards against rows and objects that pile up after snapshots.
 func TestSnapshotRemovesWhatItReplaces(t *testing.T) {
 	table, objects := newMemTable(), &memObjects{data: map[string][]byte{}}
--- a/guavalog/recover.go
+++ b/guavalog/recover.go
@@ -15,23 +15,39 @@
 	if err != nil {
 		return Recovered{}, err
 	}
-	var rec Recovered
-	snap, _, err := l.readSnap(ctx)
-	if err != nil {
-		return Recovered{}, err
+	for {
+		snap, version, err := l.readSnap(ctx)
+		if err != nil {
+			return Recovered{}, err
+		}
+		rec, err := l.readFrom(ctx, snap)
+		// A snapshot that an earlier log of this ownership still wrote may
+		// have removed rows while they were read.
+		_, now, errNow := l.readSnap(ctx)
+		switch {
+		case errNow != nil:
+			return Recovered{}, errNow
+		case now != version:
+			continue
+		case err != nil:
+			return Recovered{}, err
+		}
+		return rec, l.open(right, snap.Sequence+uint64(len(rec.Batches))+1)
 	}
-	rec.Sequence = snap.Sequence
+}
+
+// readFrom reads what a snapshot row refers to and the rows after it.
+func (l *Log) readFrom(ctx context.Context, snap snapRow) (Recovered, error) {
+	rec := Recovered{Sequence: snap.Sequence}
+	var err error
 	if snap.Object != "" {
 		rec.Snapshot, err = l.fetch(ctx, snap.Object)
 		if err != nil {
 			return Recovered{}, err
 		}
 	}
-	if rec.Batches, err = l.readBatches(ctx, snap.Sequence); err != nil {
-		return Recovered{}, err
-	}
-	next := snap.Sequence + uint64(len(rec.Batches)) + 1
-	return rec, l.open(right, next)
+	rec.Batches, err = l.readBatches(ctx, snap.Sequence)
+	return rec, err
 }
 
 // open starts appends, unless the ownership changed while the log was read.
--- a/guavalog/snapshot.go
+++ b/guavalog/snapshot.go
@@ -37,6 +37,9 @@
 
 // replaceSnap writes the object and then the row that refers to it.
 func (l *Log) replaceSnap(ctx context.Context, old snapRow, version, sequence uint64, data []byte) (snapRow, error) {
+	if err := l.Err(); err != nil {
+		return snapRow{}, err
+	}
 	if err := l.check(); err != nil {
 		return snapRow{}, err
 	}
