--- a/guavalease/driver_test.go
+++ b/guavalease/driver_test.go
@@ -66,6 +66,10 @@
 				time.Sleep(90 * time.Second)
 				before := owners(t, table)
 				require.Len(t, before, len(testPartitions))
+				for p, o := range before {
+					first := First(p, []string{"a", "b"})
+					assert.Equal(t, first, o.Instance[:1], "%s is not at the daemon that ranks first", p)
+				}
 				fault(table)
 				time.Sleep(30 * time.Second)
 				assert.Equal(t, before, owners(t, table))
