--- a/cmd/guavabench/model.go
+++ b/cmd/guavabench/model.go
@@ -19,9 +19,11 @@
 		// load is the rate of requests as a part of capacity.
 		load float64
 		// out is the part of workers that fails in the middle half of the run.
-		out    float64
-		seed   uint64
-		length time.Duration
+		out float64
+		// queueMs is the longest waiting time of the preset; 0 is the default.
+		queueMs float64
+		seed    uint64
+		length  time.Duration
 	}
 
 	result struct {
@@ -29,6 +31,9 @@
 		goodput        float64
 		refused        float64
 		byPriority     [3]float64
+		latencies      [3]*hdrhistogram.Histogram
+		leastSlots     float64
+		mostSlots      float64
 		amplification  float64
 		outageAnswered float64
 	}
@@ -79,6 +84,7 @@
 
 	counters struct {
 		latency                            *hdrhistogram.Histogram
+		latencies                          [3]*hdrhistogram.Histogram
 		arrived, good, refused             int
 		byPriority, goodByPriority         [3]int
 		outAccepted, outSent, outSucceeded int
@@ -118,7 +124,10 @@
 func newModel(s scenario) *model {
 	m := &model{scenario: s, rnd: rand.New(rand.NewPCG(s.seed, 7))}
 	m.count.latency = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
-	m.view = guavaroute.View{Zone: "a"}
+	for i := range m.count.latencies {
+		m.count.latencies[i] = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	}
+	m.view = guavaroute.View{Zone: "a", Preset: guavascale.Preset{QueueMs: s.queueMs}}
 	for i := range daemonCount {
 		m.view.Daemons = append(m.view.Daemons, fmt.Sprintf("d%d", i))
 	}
@@ -182,13 +191,15 @@
 	}
 	c := m.count
 	r := result{
-		latency: c.latency,
-		goodput: float64(c.good) / (m.capacity() * m.length.Seconds()),
-		refused: float64(c.refused) / float64(c.arrived),
+		latency:   c.latency,
+		latencies: c.latencies,
+		goodput:   float64(c.good) / (m.capacity() * m.length.Seconds()),
+		refused:   float64(c.refused) / float64(c.arrived),
 	}
 	for i := range r.byPriority {
 		r.byPriority[i] = float64(c.goodByPriority[i]) / float64(c.byPriority[i])
 	}
+	r.leastSlots, r.mostSlots = m.extremes()
 	if c.outAccepted > 0 {
 		r.amplification = float64(c.outSent) / float64(c.outAccepted)
 		r.outageAnswered = float64(c.outSucceeded) / float64(c.outAccepted)
@@ -196,6 +207,21 @@
 	return r
 }
 
+// extremes returns the least and the greatest number of slots of a daemon.
+func (m *model) extremes() (least, most float64) {
+	for i, d := range m.view.Daemons {
+		sum := 0
+		for _, e := range m.view.Endpoints {
+			sum += guavaroute.Share(e.Worker, d, m.view.Daemons, e.Slots, e.Connections).Slots
+		}
+		if i == 0 || float64(sum) < least {
+			least = float64(sum)
+		}
+		most = max(most, float64(sum))
+	}
+	return least, most
+}
+
 // arrive starts a request and plans the next arrival.
 func (m *model) arrive(*job, int) {
 	if m.now > warmUp+m.length {
@@ -248,6 +274,7 @@
 		m.count.good++
 		m.count.goodByPriority[j.priority]++
 		_ = m.count.latency.RecordValue((m.now - j.arrived).Microseconds())
+		_ = m.count.latencies[j.priority].RecordValue((m.now - j.arrived).Microseconds())
 	}
 }
 
@@ -258,6 +285,11 @@
 	}
 }
 
+// of returns a latency of the requests of one priority in milliseconds.
+func (r result) of(p guavaroute.Priority, q float64) float64 {
+	return float64(r.latencies[p].ValueAtQuantile(q)) / 1000
+}
+
 // quantile returns a latency in milliseconds.
 func (r result) quantile(q float64) float64 {
 	return float64(r.latency.ValueAtQuantile(q)) / 1000
--- a/cmd/guavabench/routing.go
+++ b/cmd/guavabench/routing.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"guavascale.example/guavaroute"
 )
 
 type (
@@ -36,6 +38,8 @@
 	fmt.Fprintf(&b, "Written by `guavabench routing --seeds %d --seconds %g`. A cell is the median over the seeds with the least and the greatest value. Times are in milliseconds.\n\n", c.Seeds, c.Seconds)
 	b.WriteString(modelText)
 	c.loadTables(&b)
+	c.priorityTable(&b)
+	c.queueTable(&b)
 	c.outageTable(&b)
 	if err := c.costTable(&b); err != nil {
 		return err
@@ -77,6 +81,31 @@
 	b.WriteString(strings.Join(tops, "\n") + "\n\n")
 }
 
+func (c routingCmd) priorityTable(b *strings.Builder) {
+	b.WriteString("## Shares by priority\n\np99 of the answers within the deadline.\n\n| Load | Urgent | Normal | Low |\n|---|---|---|---|\n")
+	var rs []result
+	for _, load := range loads {
+		rs = c.runs(scenario{policy: shares, load: load})
+		fmt.Fprintf(b, "| %g | %s | %s | %s |\n", load,
+			collect(rs, func(r result) float64 { return r.of(guavaroute.Urgent, 99) }),
+			collect(rs, func(r result) float64 { return r.of(guavaroute.Normal, 99) }),
+			collect(rs, func(r result) float64 { return r.of(guavaroute.Low, 99) }))
+	}
+	fmt.Fprintf(b, "\nOf the 400 slots a daemon holds %g to %g; the mean is %.1f.\n\n", rs[0].leastSlots, rs[0].mostSlots, float64(workerCount*slotsPerWorker)/daemonCount)
+}
+
+func (c routingCmd) queueTable(b *strings.Builder) {
+	b.WriteString("## Longest waiting time\n\nShares at 4 times capacity with other values of QueueMs.\n\n| QueueMs | p50 | p99 | Goodput |\n|---|---|---|---|\n")
+	for _, ms := range []float64{10, 50, 100, 1000} {
+		rs := c.runs(scenario{policy: shares, load: 4, queueMs: ms})
+		fmt.Fprintf(b, "| %g | %s | %s | %s |\n", ms,
+			collect(rs, func(r result) float64 { return r.quantile(50) }),
+			collect(rs, func(r result) float64 { return r.quantile(99) }),
+			collect(rs, func(r result) float64 { return r.goodput }))
+	}
+	b.WriteString("\n")
+}
+
 func (c routingCmd) outageTable(b *strings.Builder) {
 	b.WriteString("## Outage\n\nLoad 0.6; all requests are idempotent. During the middle half of the run the workers of the part break each connection 1 ms after they received the request. Requests are counted that were accepted during the outage. The baselines retry up to twice without a budget.\n\n")
 	b.WriteString("| Part out | Policy | Sent / accepted | Answered |\n|---|---|---|---|\n")
--- a/cmd/guavabench/serve.go
+++ b/cmd/guavabench/serve.go
@@ -40,6 +40,7 @@
 		m.count.outAccepted++
 	}
 	j.pick = e.Pick
+
 	m.sendPicked(j)
 }
 
--- a/guavaroute/router.go
+++ b/guavaroute/router.go
@@ -59,15 +59,6 @@
 	}
 )
 
-// unmeasuredQueue is the capacity of a service's queue, in tickets per slot,
-// before any latency was measured.
-const unmeasuredQueue = 4
-
-// slowFactor is how many times the mean latency of its service an endpoint must
-// exceed to count as slow. Below 2, the noise of the averages would leave out
-// ordinary endpoints.
-const slowFactor = 2
-
 // Update sets what the router knows of the fleet. Endpoints that are leaving
 // or whose zone is out get no request from then on; requests in progress there
 // go on. The events decide on waiting tickets.
@@ -162,18 +153,15 @@
 		return Event{Ticket: t.ID, Verdict: NoEndpoint}, Event{}
 	}
 	if s.queue.ahead(t.Priority) == 0 {
-		if p, ok := r.acquire(now, s, nil); ok {
+		if p, ok := r.acquire(now, s, 0, nil); ok {
 			return Event{Ticket: t.ID, Verdict: Granted, Pick: p}, Event{}
 		}
 	}
 	capacity := r.capacity(now, s)
-	if s.queue.full(t.Priority, capacity) {
+	until := r.patience(now, t)
+	if s.queue.full(t.Priority, capacity) || r.wait(now, s, t.Priority) > until.Sub(now) {
 		return Event{Ticket: t.ID, Verdict: Refused}, Event{}
 	}
-	until := now.Add(queueTime(r.view.Preset))
-	if t.Deadline.Before(until) {
-		until = t.Deadline
-	}
 	shed, ok := s.queue.push(waiter{t, now, until}, capacity)
 	if ok && shed.ID == t.ID {
 		return Event{Ticket: t.ID, Verdict: Refused}, Event{}
@@ -200,7 +188,7 @@
 	if s == nil {
 		return Pick{}, false
 	}
-	p, ok := r.acquire(now, s, tried)
+	p, ok := r.acquire(now, s, 0, tried)
 	if !ok {
 		return Pick{}, false
 	}
@@ -274,7 +262,7 @@
 	}
 	slices.SortStableFunc(r.heads, func(a, b head) int { return a.compare(b.waiter) })
 	for _, h := range r.heads {
-		if p, ok := r.acquire(now, h.service, nil); ok {
+		if p, ok := r.acquire(now, h.service, now.Sub(h.since), nil); ok {
 			h.service.queue.pop()
 			return Event{Ticket: h.ticket.ID, Verdict: Granted, Pick: p}, true
 		}
@@ -289,73 +277,6 @@
 	return w.since.Compare(o.since)
 }
 
-// acquire takes a slot of the best endpoint of a service. A slow endpoint is
-// left out while the wait for a faster one, by the queue's length, is shorter
-// than what it is slower, and a faster one is busy, whose end looks at the
-// queue again.
-func (r *Router) acquire(now time.Time, s *serviceState, tried []guavascale.TaskID) (Pick, bool) {
-	if r.Rand == nil {
-		r.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	}
-	mean := time.Duration(s.latency.value)
-	r.scratch, r.free = r.scratch[:0], r.free[:0]
-	slots, fastBusy := 0, false
-	for _, es := range s.endpoints {
-		usable := es.worker.usable(now)
-		slots += usable
-		latency := es.latency.toward(now, mean)
-		open := es.ejection.open(now) && !slices.Contains(tried, es.endpoint.Task)
-		if open && es.inUse > 0 && latency < slowFactor*mean {
-			fastBusy = true
-		}
-		if !open || es.worker.inUse >= usable {
-			continue
-		}
-		c := Candidate{
-			OwnZone:  es.endpoint.Zone == r.view.Zone,
-			InUse:    es.worker.inUse,
-			Slots:    usable,
-			Latency:  latency,
-			Failures: es.ejection.failures,
-		}
-		if es.ejection.ejected {
-			// A probe is due; the endpoint must be tried to return.
-			c.Latency, c.Failures = mean, 0
-		}
-		r.free = append(r.free, es)
-		r.scratch = append(r.scratch, c)
-	}
-	if fastBusy && len(tried) == 0 {
-		wait := time.Duration(float64(mean) * float64(s.queue.len()+1) / float64(slots))
-		r.leaveOutSlow(slowFactor*mean + wait)
-	}
-	i := Choose(r.scratch, r.Rand)
-	if i < 0 {
-		return Pick{}, false
-	}
-	es := r.free[i]
-	es.inUse++
-	es.worker.inUse++
-	return Pick{
-		Endpoint:    es.endpoint,
-		Connections: es.worker.connections.usable(now),
-		state:       es,
-		probe:       es.ejection.begin(),
-	}, true
-}
-
-// leaveOutSlow removes the free endpoints slower than limit.
-func (r *Router) leaveOutSlow(limit time.Duration) {
-	n := 0
-	for i, c := range r.scratch {
-		if c.Latency <= limit {
-			r.scratch[n], r.free[n] = c, r.free[i]
-			n++
-		}
-	}
-	r.scratch, r.free = r.scratch[:n], r.free[:n]
-}
-
 // observe updates latencies. A failure faster than usual is no observation,
 // for an endpoint that refuses connections would look like the fastest one.
 func (es *endpointState) observe(now time.Time, res Result) {
@@ -377,34 +298,3 @@
 		p.state.ejection.probing = false
 	}
 }
-
-// capacity returns the number of tickets that the service's slots complete
-// within the longest waiting time (Little's law). A longer queue would hold
-// requests that expire in it.
-func (r *Router) capacity(now time.Time, s *serviceState) int {
-	slots := 0
-	for _, w := range s.workers {
-		slots += w.usable(now)
-	}
-	if s.latency.last.IsZero() {
-		return unmeasuredQueue * slots
-	}
-	turns := float64(queueTime(r.view.Preset)) / max(s.latency.value, float64(time.Millisecond)/10)
-	return max(1, int(turns*float64(slots)))
-}
-
-// maySpare reports whether one more endpoint of the service may be ejected.
-func (s *serviceState) maySpare() bool {
-	ejected := 0
-	for _, es := range s.endpoints {
-		if es.ejection.ejected {
-			ejected++
-		}
-	}
-	return maxEjectedPart*(ejected+1) <= len(s.endpoints)
-}
-
-// usable is the number of requests that may be in progress at the worker.
-func (w *workerState) usable(now time.Time) int {
-	return min(w.slots.usable(now), w.connections.usable(now))
-}
