--- a/guavafake/agent.go
+++ b/guavafake/agent.go
@@ -236,6 +236,7 @@
 	if o.Since>>bootShift == uint64(w.boots) {
 		report.Since = o.Since
 	}
+	f.measure(w, now)
 	for _, r := range w.sorted() {
 		r.refresh(w, now, f.UsageLag)
 		if r.version > report.Since {
--- a/guavafake/fleet.go
+++ b/guavafake/fleet.go
@@ -25,6 +25,11 @@
 		// RejectFull makes workers reject starts that exceed their capacity.
 		// By default they start them, and the judge notes the violation.
 		RejectFull bool
+		// Latency models pairwise interference: it returns the reported 99th
+		// percentile of a service instance beside the tasks of its worker, in
+		// milliseconds, and is called while the fleet is locked. nil leaves it
+		// to the worker's faults.
+		Latency func(now time.Time, service guavascale.Task, beside []Busy) float64
 
 		mu      sync.Mutex
 		workers map[guavascale.WorkerID]*worker
--- a/guavafake/worker.go
+++ b/guavafake/worker.go
@@ -47,6 +47,9 @@
 		version uint64
 		// told is set once an answered report contained the end.
 		told bool
+		// samples holds measurements for the model of interference, oldest
+		// first.
+		samples []sample
 	}
 )
 
@@ -151,17 +154,15 @@
 	if r.state.Ended() {
 		return a
 	}
+	if len(r.samples) > 0 {
+		r.reportSample(&a, now, lag)
+		return a
+	}
 	a.UsageAgeMs = lag.Milliseconds()
 	if now.Sub(r.started) < lag {
 		return a
 	}
-	a.Used = r.task.Size
-	factor := w.faults.UsageFactor
-	if factor <= 0 {
-		factor = 1
-	}
-	a.Used.MilliCores = int64(float64(a.Used.MilliCores) * factor * float64(r.percent) / fullPercent)
-	a.Used.MemoryMB = int64(float64(a.Used.MemoryMB) * factor)
+	a.Used = w.usage(r)
 	if r.task.Class == guavascale.ClassService {
 		a.LatencyMs = w.faults.LatencyMs
 	}
--- a/guavashard/drain.go
+++ b/guavashard/drain.go
@@ -3,10 +3,18 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"guavascale.example"
 )
 
+const (
+	fullPercent = 100
+	// releaseRepeat is how long the end of a throttle is sent again. It is
+	// longer than a lost message and its timeout.
+	releaseRepeat = 30 * time.Second
+)
+
 // drain moves batch tasks off workers that leave and out of a zone that was
 // taken out, at the preset's rate, urgent ones first.
 func (s *Shard) drain() {
@@ -59,7 +67,27 @@
 // Throttle sets the share of its declared processors that a batch task may
 // use, 1 to 100 percent.
 func (s *Shard) Throttle(id guavascale.TaskID, percent int) {
-	if e := s.tasks[id]; e != nil && e.task.Class == guavascale.ClassBatch && e.task.State.HoldsWorker() {
-		e.throttle = min(max(percent, 1), 100)
+	e := s.tasks[id]
+	if e == nil || e.task.Class != guavascale.ClassBatch || !e.task.State.HoldsWorker() {
+		return
+	}
+	s.setThrottle(e, min(max(percent, 1), fullPercent))
+}
+
+func (s *Shard) setThrottle(e *entry, percent int) {
+	if e.throttle == percent {
+		return
+	}
+	e.throttle = percent
+	e.throttleFrom, e.throttled = s.now, time.Time{}
+}
+
+// needsThrottle reports whether the throttle has to be sent. Reports do not
+// show it, so it is repeated with each message that asks for a report. A
+// released one is repeated for a while only.
+func (s *Shard) needsThrottle(e *entry) bool {
+	if e.throttle == 0 || s.now.Sub(e.throttled) < s.reportInterval() {
+		return false
 	}
+	return e.throttle < fullPercent || s.now.Sub(e.throttleFrom) < releaseRepeat
 }
--- a/guavashard/message.go
+++ b/guavashard/message.go
@@ -107,7 +107,8 @@
 		e.leaseUntil = later(e.leaseUntil, until.Add(lease+leaseMargin))
 		e.renewed = s.now
 	}
-	if e.throttle > 0 {
+	if s.needsThrottle(e) {
+		e.throttled = s.now
 		m.Orders = append(m.Orders, guavascale.Order{
 			Kind: guavascale.OrderThrottle, Attempt: attempt, Percent: e.throttle,
 		})
--- /dev/null
+++ b/guavashard/observe.go
@@ -0,0 +1,51 @@
+package guavashard
+
+import (
+	"time"
+
+	"guavascale.example"
+	"guavascale.example/guavainterference"
+)
+
+// Observe returns what the reports tell of the workers of the shard, for the
+// estimate of interference and for mitigation. Workers that do not answer are
+// missing.
+func (s *Shard) Observe() []guavainterference.Worker {
+	if s.view == nil {
+		return nil
+	}
+	list := make([]guavainterference.Worker, 0, len(s.order))
+	for _, w := range s.order {
+		if s.responsive(w) && len(w.tasks) > 0 {
+			list = append(list, s.observe(w))
+		}
+	}
+	return list
+}
+
+func (s *Shard) observe(w *workerState) guavainterference.Worker {
+	o := guavainterference.Worker{ID: w.worker.ID, MilliCores: w.worker.Capacity.MilliCores}
+	for _, e := range w.tasks {
+		a, ok := w.reports[e.task.AttemptID()]
+		if !ok || !e.seen {
+			continue
+		}
+		if e.task.Class == guavascale.ClassBatch {
+			o.Batch = append(o.Batch, guavainterference.Batch{
+				Task: e.task.ID, Kind: e.task.Kind, Urgent: e.task.Urgent,
+				Cores: float64(a.Used.MilliCores) / 1000, Percent: e.throttle, Evictions: e.task.Evictions,
+				Movable: e.next == nil && e.task.State == guavascale.TaskStarting,
+			})
+			continue
+		}
+		target := s.view.Config.Services[e.task.Service].TargetMs
+		if target <= 0 || a.LatencyMs <= 0 || s.leaving(e) {
+			continue
+		}
+		o.Services = append(o.Services, guavainterference.Service{
+			Task: e.task.ID, Kind: e.task.Kind, Ratio: a.LatencyMs / target,
+			MeasuredAt: w.answered.Add(-time.Duration(a.UsageAgeMs) * time.Millisecond),
+		})
+	}
+	return o
+}
--- a/guavashard/record.go
+++ b/guavashard/record.go
@@ -114,6 +114,10 @@
 	if lease <= 0 {
 		lease = maxInherited
 	}
+	// An earlier owner may have throttled the attempt; this one has no reason to.
+	if e.task.Class == guavascale.ClassBatch {
+		s.setThrottle(e, fullPercent)
+	}
 	e.sent = true
 	e.sentUntil = s.takenOver.Add(orderSlack)
 	e.leaseUntil = s.takenOver.Add(orderSlack + lease + leaseMargin)
--- a/guavashard/schedule.go
+++ b/guavashard/schedule.go
@@ -184,7 +184,7 @@
 			r.SameService = w.countService(t.Service)
 		}
 		if s.view.Interference != nil && !r.Closed {
-			r.Interference = s.view.Interference(t, w.taskList())
+			r.Interference = s.view.Interference(t, w.loads)
 		}
 		s.rooms = append(s.rooms, r)
 		s.roomIDs = append(s.roomIDs, w)
@@ -192,24 +192,6 @@
 	return s.rooms
 }
 
-func (w *workerState) countService(name string) int {
-	n := 0
-	for _, e := range w.tasks {
-		if e.task.Service == name {
-			n++
-		}
-	}
-	return n
-}
-
-func (w *workerState) taskList() []*guavascale.Task {
-	list := make([]*guavascale.Task, 0, len(w.tasks))
-	for _, e := range w.tasks {
-		list = append(list, &e.task)
-	}
-	return list
-}
-
 // overQuota returns a reason when the start would exceed the team's quota. The
 // usage in other shards is as old as their summaries, so a team may exceed its
 // quota for a few seconds by what other shards started meanwhile.
--- a/guavashard/shard.go
+++ b/guavashard/shard.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavainterference"
 	"guavascale.example/guavaplace"
 )
 
@@ -46,13 +47,13 @@
 		Others []guavascale.PartitionSummary
 		// Instances is this shard's part of the instances of each service.
 		Instances map[string]int
-		// Interference estimates the loss from putting a task of a kind on a
-		// worker with tasks of other kinds; nil means none.
 		// ReportInterval is the time between messages to a worker that needs
 		// no orders; 0 stands for 1 s. A daemon that owns many workers raises
 		// it to stay within its share of the network.
 		ReportInterval time.Duration
-		Interference   func(t *guavascale.Task, beside []*guavascale.Task) float64
+		// Interference estimates the loss from putting a task on a worker
+		// beside the work of other kinds; nil means none.
+		Interference func(t *guavascale.Task, beside []guavainterference.Load) float64
 		Rand           *rand.Rand
 	}
 
@@ -160,7 +161,12 @@
 		// leavingSince is when a service instance began to leave; zero when
 		// it does not leave.
 		leavingSince time.Time
+		// throttle is the share of its processors that the attempt may use, in
+		// percent; 0 when it was never set. throttleFrom is when it was set,
+		// and throttled when it was last sent.
 		throttle     int
+		throttleFrom time.Time
+		throttled    time.Time
 	}
 )
 
--- a/guavashard/worker.go
+++ b/guavashard/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavainterference"
 )
 
 type (
@@ -31,8 +32,11 @@
 		tasks []*entry
 		used  guavascale.Resources
 		batch guavascale.Resources
-		// instances counts service instances.
+		// instances counts service instances, and services those of each
+		// service. loads sums up the work of each kind.
 		instances int
+		services  []serviceCount
+		loads     []guavainterference.Load
 		// reports holds what the worker reported of each attempt, and version
 		// the version of the latest report.
 		reports map[guavascale.AttemptID]guavascale.AttemptReport
@@ -55,6 +59,11 @@
 		backoff      time.Duration
 	}
 
+	serviceCount struct {
+		name  string
+		count int
+	}
+
 	// bucket is a token bucket. Its zero value is empty and fills from the
 	// first call of take on.
 	bucket struct {
@@ -112,20 +121,62 @@
 
 func (w *workerState) add(t *guavascale.Task) {
 	w.used = w.used.Add(t.Size)
+	w.addLoad(t, +1)
 	if t.Class == guavascale.ClassBatch {
 		w.batch = w.batch.Add(t.Size)
 	} else {
 		w.instances++
+		w.addService(t.Service, +1)
 	}
 }
 
 func (w *workerState) sub(t *guavascale.Task) {
 	w.used = w.used.Sub(t.Size)
+	w.addLoad(t, -1)
 	if t.Class == guavascale.ClassBatch {
 		w.batch = w.batch.Sub(t.Size)
 	} else {
 		w.instances--
+		w.addService(t.Service, -1)
+	}
+}
+
+// addLoad adds n tasks to the load of their kind; a load without tasks is
+// removed.
+func (w *workerState) addLoad(t *guavascale.Task, n int) {
+	i := slices.IndexFunc(w.loads, func(l guavainterference.Load) bool { return l.Kind == t.Kind && l.Class == t.Class })
+	if i < 0 {
+		i = len(w.loads)
+		w.loads = append(w.loads, guavainterference.Load{Kind: t.Kind, Class: t.Class})
+	}
+	w.loads[i].Tasks += n
+	w.loads[i].MilliCores += int64(n) * t.Size.MilliCores
+	if w.loads[i].Tasks == 0 {
+		w.loads = slices.Delete(w.loads, i, i+1)
+	}
+}
+
+func (w *workerState) addService(name string, n int) {
+	i := slices.IndexFunc(w.services, func(c serviceCount) bool { return c.name == name })
+	if i < 0 {
+		w.services = append(w.services, serviceCount{name, n})
+		return
+	}
+	w.services[i].count += n
+	if w.services[i].count == 0 {
+		w.services = slices.Delete(w.services, i, i+1)
+	}
+}
+
+// countService returns the number of instances of a service, proposed ones
+// included.
+func (w *workerState) countService(name string) int {
+	for i := range w.services {
+		if w.services[i].name == name {
+			return w.services[i].count
+		}
 	}
+	return 0
 }
 
 // updateWorkers takes over the host list. A worker that left the list stays
