--- a/cmd/guavabench/main.go
+++ b/cmd/guavabench/main.go
@@ -10,6 +10,8 @@
 
 type cli struct {
 	Routing routingCmd `cmd:"" help:"Compare routing policies in a queueing model and measure the gateway's own cost."`
+
+	Interference interferenceCmd `cmd:"" help:"Compare policies against interference in virtual time."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/guavabench/seeds.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"slices"
+	"sync"
+)
+
+// bySeed runs a function with the seeds 1 to n, a few at a time.
+func bySeed[R any](n int, run func(seed uint64) R) []R {
+	rs := make([]R, n)
+	slots := make(chan struct{}, parallelRuns)
+	var wg sync.WaitGroup
+	for i := range rs {
+		wg.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			rs[i] = run(uint64(i + 1))
+		})
+	}
+	wg.Wait()
+	return rs
+}
+
+// spread joins one value of each run.
+func spread[R any](rs []R, value func(R) float64) cell {
+	var c cell
+	for _, r := range rs {
+		c.values = append(c.values, value(r))
+	}
+	slices.Sort(c.values)
+	return c
+}
--- a/guavainterference/estimator.go
+++ b/guavainterference/estimator.go
@@ -25,6 +25,8 @@
 		PerCore float64
 		// Deviation is the standard deviation of PerCore.
 		Deviation float64
+		// Peak is the recent peak of PerCore, by which tasks are placed.
+		Peak float64
 		// Known is set when the pair was measured.
 		Known bool
 	}
@@ -51,6 +53,11 @@
 	drift     = 30 * time.Minute
 	baseDrift = 5 * time.Minute
 
+	// peakMemory is the time in which the peak of a disturbance falls to its
+	// mean by a factor of e. Placement outlasts a wave, so that it goes by the
+	// peak; with the mean it put tasks back after each wave.
+	peakMemory = 10 * time.Minute
+
 	// noise is the relative deviation of a measured 99th percentile.
 	noise = 0.15
 	// maxRatio bounds the weight of one measurement: a stalled instance can
@@ -73,13 +80,13 @@
 
 // Get returns the estimate of a pair.
 func (e *Estimator) Get(service, batch string) Estimate {
-	est := Estimate{Service: service, Batch: batch, PerCore: priorPerCore, Deviation: priorPerCoreDeviation}
+	est := Estimate{Service: service, Batch: batch, PerCore: priorPerCore, Deviation: priorPerCoreDeviation, Peak: priorPerCore}
 	f := e.filters[service]
 	if f == nil {
 		return est
 	}
 	if i := f.index(batch); i > 0 {
-		est.PerCore, est.Deviation, est.Known = f.mean[i], math.Sqrt(f.at(i, i)), true
+		est.PerCore, est.Deviation, est.Peak, est.Known = f.mean[i], math.Sqrt(f.at(i, i)), f.peak[i], true
 	}
 	return est
 }
--- a/guavainterference/filter.go
+++ b/guavainterference/filter.go
@@ -14,6 +14,8 @@
 		// seen is when a kind was last measured.
 		seen []time.Time
 		mean []float64
+		// peak follows the mean upwards at once and downwards slowly.
+		peak []float64
 		// cov is the covariance, a square matrix with a row of size elements
 		// for each element of the state.
 		cov  []float64
@@ -22,7 +24,8 @@
 		x, gain []float64
 	}
 
-	// prediction sums up the ratio of a service beside loads. Loads that the
+	// prediction sums up the ratio of a service beside loads, at the recent
+	// peak of their disturbances. Loads that the
 	// filter does not know are independent of the others.
 	prediction struct {
 		f       *filter
@@ -42,7 +45,7 @@
 
 func newFilter() *filter {
 	f := &filter{
-		mean: make([]float64, size), cov: make([]float64, size*size),
+		mean: make([]float64, size), peak: make([]float64, size), cov: make([]float64, size*size),
 		x: make([]float64, size), gain: make([]float64, size),
 	}
 	for i := range size {
@@ -59,6 +62,7 @@
 		f.cov[i*size+j], f.cov[j*size+i] = 0, 0
 	}
 	f.mean[i], f.cov[i*size+i] = prior(i)
+	f.peak[i] = f.mean[i]
 }
 
 func prior(i int) (mean, variance float64) {
@@ -117,6 +121,7 @@
 	for i := range n {
 		m, v := prior(i)
 		f.mean[i] = m + keep(i)*(f.mean[i]-m)
+		f.peak[i] = f.mean[i] + math.Exp(-d.Seconds()/peakMemory.Seconds())*(f.peak[i]-f.mean[i])
 		for j := range n {
 			f.cov[i*size+j] *= keep(i) * keep(j)
 		}
@@ -147,6 +152,7 @@
 	}
 	for i := range n {
 		f.mean[i] += f.gain[i] / variance * (ratio - expected)
+		f.peak[i] = max(f.peak[i], f.mean[i])
 		for j := range n {
 			f.cov[i*size+j] -= f.gain[i] * f.gain[j] / variance
 		}
@@ -172,7 +178,7 @@
 		p.unknown += v * cores * cores
 		return
 	}
-	p.mean += p.f.mean[i] * cores
+	p.mean += p.f.peak[i] * cores
 	p.known[p.n] = term{i, cores}
 	p.n++
 }
--- a/guavainterference/mitigate_test.go
+++ b/guavainterference/mitigate_test.go
@@ -64,7 +64,8 @@
 		// A breach that ended in between starts anew.
 		"interrupted breach": {
 			testPolicy, 1,
-			[]*Worker{at(0, 1.5, loud), at(6, 0.9, held), at(12, 1.5, held)}, []string{"Throttle l/0 50"},
+			[]*Worker{at(0, 1.5, loud), at(6, 0.9, held), at(12, 1.5, held)},
+			[]string{"Throttle l/0 50"},
 		},
 		"weights keep batch work": {
 			batchFirst, 1,
--- a/guavashard/drain.go
+++ b/guavashard/drain.go
@@ -65,13 +65,14 @@
 }
 
 // Throttle sets the share of its declared processors that a batch task may
-// use, 1 to 100 percent.
-func (s *Shard) Throttle(id guavascale.TaskID, percent int) {
+// use, 1 to 100 percent, and reports whether it did.
+func (s *Shard) Throttle(id guavascale.TaskID, percent int) bool {
 	e := s.tasks[id]
 	if e == nil || e.task.Class != guavascale.ClassBatch || !e.task.State.HoldsWorker() {
-		return
+		return false
 	}
 	s.setThrottle(e, min(max(percent, 1), fullPercent))
+	return true
 }
 
 func (s *Shard) setThrottle(e *entry, percent int) {
--- a/guavashard/observe.go
+++ b/guavashard/observe.go
@@ -1,6 +1,7 @@
 package guavashard
 
 import (
+	"fmt"
 	"time"
 
 	"guavascale.example"
@@ -49,3 +50,15 @@
 	}
 	return o
 }
+
+// Mitigate takes a step to protect a service, and reports whether it did.
+func (s *Shard) Mitigate(step guavainterference.Step) bool {
+	switch step.Kind {
+	case guavainterference.StepEvict:
+		return s.Evict(step.Task, fmt.Sprintf("%s misses its target beside it", step.Service))
+	case guavainterference.StepThrottle, guavainterference.StepRelease:
+		return s.Throttle(step.Task, step.Percent)
+	default:
+		return false
+	}
+}
--- a/guavashard/shard.go
+++ b/guavashard/shard.go
@@ -54,7 +54,7 @@
 		// Interference estimates the loss from putting a task on a worker
 		// beside the work of other kinds; nil means none.
 		Interference func(t *guavascale.Task, beside []guavainterference.Load) float64
-		Rand           *rand.Rand
+		Rand         *rand.Rand
 	}
 
 	// Append is a request to add records to the shard's log.
