guavaplace: avoid workers on which a task would be worth evicting

Placement let a task run beside a service and mitigation evicted it again. A batch task now waits for up to 2 minutes in a shard rather than start where its expected harm, by the preset's weights, exceeds the criterion of evictions. The memory of refusals within a step now tells kinds apart, since the refusal depends on the kind.

--- a/guavaplace/place.go
+++ b/guavaplace/place.go
@@ -44,6 +44,9 @@
 		// MaxBatchShare is the part of a worker with service instances that
 		// batch tasks may take, 0 to 1.
 		MaxBatchShare float64
+		// Avoid refuses workers on which the expected loss of services weighs
+		// more than the task, as the eviction of the task would.
+		Avoid bool
 	}
 
 	// Refusal tells why no worker was chosen.
@@ -58,6 +61,9 @@
 	RefusalTooLarge Refusal = "larger than any worker of the shard"
 	// RefusalNoRoom means that workers are large enough but taken.
 	RefusalNoRoom Refusal = "no free capacity in the shard"
+	// RefusalLoss means that services on the workers with room would lose more
+	// than the task gains.
+	RefusalLoss Refusal = "services beside it would miss their targets"
 	// RefusalClosed means that the workers that could hold the task take no
 	// starts.
 	RefusalClosed Refusal = "no worker of the shard takes starts"
@@ -83,6 +89,10 @@
 			refusal = worse(refusal, RefusalNoRoom)
 			continue
 		}
+		if p.Avoid && harms(t, r, p) {
+			refusal = RefusalLoss
+			continue
+		}
 		if s := score(t, r, p); s < bestScore {
 			best, bestScore = i, s
 		}
@@ -95,12 +105,21 @@
 
 // worse returns the refusal that is closer to a placement.
 func worse(a, b Refusal) Refusal {
-	if a == RefusalNoRoom {
+	if a == RefusalLoss || a == RefusalNoRoom {
 		return a
 	}
 	return b
 }
 
+// harms reports whether a batch task would be worth evicting from a worker as
+// soon as it runs there.
+func harms(t *guavascale.Task, r *Room, p Policy) bool {
+	if t.Class != guavascale.ClassBatch || r.Interference <= 0 {
+		return false
+	}
+	return p.LatencyWeight*r.Interference > p.BatchWeight*fraction(t.Size.MilliCores, r.Capacity.MilliCores)
+}
+
 func fits(t *guavascale.Task, r *Room, p Policy) bool {
 	if !r.Capacity.Sub(r.Used).Fits(t.Size) {
 		return false
--- a/guavashard/schedule.go
+++ b/guavashard/schedule.go
@@ -15,6 +15,10 @@
 	// task does not travel forever in a full fleet.
 	handOverAfter    = 2 * time.Second
 	maxHandOverDelay = 2 * time.Minute
+	// avoidFor is how long a task waits in a shard rather than run where it
+	// is expected to disturb. Without an end, a kind that disturbs everywhere
+	// would never run.
+	avoidFor = 2 * time.Minute
 	// maxPlacements bounds the placements of one Step, which takes about
 	// 1 µs for each worker and task.
 	maxPlacements = 256
@@ -40,10 +44,11 @@
 	return len(r.tasks[0])+len(r.tasks[1]) < maxRefusals
 }
 
-// find returns a refused task of the same class and team that is not larger.
+// find returns a refused task of the same class, team and kind that is not
+// larger.
 func (r *refusals) find(t *guavascale.Task) *entry {
 	for _, e := range r.tasks[classIndex(t)] {
-		if e.task.Team == t.Team && t.Size.Fits(e.task.Size) {
+		if e.task.Team == t.Team && e.task.Kind == t.Kind && t.Size.Fits(e.task.Size) {
 			return e
 		}
 	}
@@ -131,7 +136,7 @@
 		e.refusal = reason
 		return false
 	}
-	i, refusal := guavaplace.Choose(&e.task, s.describeRooms(&e.task), s.policy())
+	i, refusal := guavaplace.Choose(&e.task, s.describeRooms(&e.task), s.policy(e))
 	if i < 0 {
 		e.refusal = string(refusal)
 		return false
@@ -160,10 +165,11 @@
 	return s.view.Preset.BatchLeaseSeconds
 }
 
-func (s *Shard) policy() guavaplace.Policy {
+func (s *Shard) policy(e *entry) guavaplace.Policy {
 	p := &s.view.Preset
 	return guavaplace.Policy{
 		LatencyWeight: p.LatencyWeight, BatchWeight: p.BatchWeight, MaxBatchShare: p.MaxBatchShare,
+		Avoid: !e.task.Urgent && s.now.Sub(e.since) < avoidFor,
 	}
 }
 
