guavadaemon: learn interference and mitigate about once a second

The control goroutine feeds the measurements of its shards to the estimator, gives its expected loss to placement, and takes the steps.

--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -10,6 +10,7 @@
 	"guavascale.example"
 	"guavascale.example/guavaclaim"
 	"guavascale.example/guavaconfig"
+	"guavascale.example/guavainterference"
 	"guavascale.example/guavalease"
 	"guavascale.example/guavaplace"
 	"guavascale.example/guavashard"
@@ -35,6 +36,10 @@
 	sequence      uint64
 	publishNext   time.Time
 	summaryNext   time.Time
+	// interference estimates how tasks disturb services; it starts empty.
+	interference guavainterference.Controller
+	mitigateNext time.Time
+	forgetNext   time.Time
 }
 
 const (
@@ -96,6 +101,7 @@
 			c.step(ctx, now, o, &cfg, preset)
 		}
 	}
+	c.mitigate(now, preset)
 	if now.After(c.publishNext) {
 		c.publish(now, &cfg, preset)
 		c.publishNext = now.Add(publishInterval)
@@ -112,6 +118,7 @@
 		Config: cfg, Preset: preset, ActUntil: right.Until, StartUntil: now.Add(-time.Second),
 		Workers: c.byShard[o.name], Largest: c.largest, Others: c.others,
 		Instances: make(map[string]int, len(c.instances)), Rand: c.rng,
+		Interference: c.interference.Estimator.Loss,
 	}
 	if left, ok := c.d.watcher.MayStart(cfg.Version); ok {
 		v.StartUntil = now.Add(left)
--- /dev/null
+++ b/guavadaemon/mitigate.go
@@ -0,0 +1,65 @@
+package guavadaemon
+
+import (
+	"time"
+
+	"guavascale.example"
+	"guavascale.example/guavaconfig"
+	"guavascale.example/guavainterference"
+)
+
+// InterferenceState is the part of a state dump on interference.
+type InterferenceState struct {
+	// Estimates holds the measured pairs of kinds.
+	Estimates []guavainterference.Estimate
+	// Steps holds the latest steps of mitigation, oldest first.
+	Steps []guavainterference.Step
+}
+
+const (
+	// mitigateInterval is the time between looks at the measurements, which
+	// arrive about once a second.
+	mitigateInterval = time.Second
+	forgetInterval   = time.Minute
+)
+
+// mitigate learns from the reports of the owned shards and takes the steps
+// that protect services. An eviction is only proposed here; like every change
+// it takes effect once it is in the shard's log.
+func (c *control) mitigate(now time.Time, preset guavascale.Preset) {
+	if now.Before(c.mitigateNext) {
+		return
+	}
+	c.mitigateNext = now.Add(mitigateInterval)
+	p := guavainterference.Policy{
+		LatencyWeight: preset.LatencyWeight, BatchWeight: preset.BatchWeight,
+		EvictAfter: guavaconfig.Seconds(preset.EvictAfterSeconds),
+	}
+	for _, o := range c.shards {
+		if o.shard == nil {
+			continue
+		}
+		for _, step := range c.interference.Update(now, o.name, o.shard.Observe(), p) {
+			c.logStep(step, o.shard.Mitigate(step))
+		}
+	}
+	if now.Before(c.forgetNext) {
+		return
+	}
+	c.forgetNext = now.Add(forgetInterval)
+	c.interference.Forget(now, func(p guavascale.Partition) bool { return c.shards[p] != nil })
+}
+
+func (c *control) logStep(s guavainterference.Step, taken bool) {
+	e := c.d.Log.Debug()
+	if s.Kind == guavainterference.StepEvict {
+		e = c.d.Log.Info()
+	}
+	e.Str("step", string(s.Kind)).Str("task", string(s.Task)).Str("worker", string(s.Worker)).
+		Str("service", string(s.Service)).Float64("ratio", s.Ratio).Int("percent", s.Percent).
+		Bool("taken", taken).Msg("mitigation: step for a service")
+}
+
+func (c *control) interferenceState() InterferenceState {
+	return InterferenceState{Estimates: c.interference.Estimator.Estimates(), Steps: c.interference.Recent()}
+}
--- a/guavadaemon/state.go
+++ b/guavadaemon/state.go
@@ -32,6 +32,8 @@
 		Members     []guavascale.Summary
 		Held        []guavascale.Partition
 		Shards      []ShardState
+		// Interference holds the estimates and the latest steps.
+		Interference InterferenceState
 	}
 
 	// ShardState is the part of a state dump on one shard.
@@ -67,11 +69,16 @@
 	if age, ok := d.watcher.Age(); ok {
 		st.ConfigAgeMs = age.Milliseconds()
 	}
-	done := make(chan []ShardState, 1)
-	d.mail.post(func() { done <- d.control.shardStates() })
+	// The closure fills its own copy, since the caller may have gone.
+	done := make(chan State, 1)
+	d.mail.post(func() {
+		full := st
+		full.Shards, full.Interference = d.control.shardStates(), d.control.interferenceState()
+		done <- full
+	})
 	select {
-	case st.Shards = <-done:
-		return st, nil
+	case full := <-done:
+		return full, nil
 	case <-ctx.Done():
 		return st, ctx.Err()
 	}
