guavainterference: widen the prior of an unknown pair

With a deviation of 0.02 per core the service's constant took the blame for a kind that ran beside it from the start.

--- a/guavainterference/estimator.go
+++ b/guavainterference/estimator.go
@@ -43,9 +43,13 @@
 	priorBase          = 0.5
 	priorBaseDeviation = 0.3
 	// An unknown kind is expected to disturb a little: 16 busy cores take a
-	// sixth of the target, and almost half of it at one deviation more.
+	// sixth of the target, and at half a deviation more, by which tasks are
+	// placed, more than half of it. With a deviation of 0.02 the constant took
+	// the blame for a loud kind that ran beside the service from the start, and
+	// nothing was throttled.
 	priorPerCore          = 0.01
-	priorPerCoreDeviation = 0.02
+	priorPerCoreDeviation = 0.05
+	placementDeviations   = 0.5
 
 	// drift is the time in which a disturbance that is not measured returns
 	// to its prior by a factor of e. baseDrift is shorter, since the load of
@@ -107,7 +111,7 @@
 
 // Loss returns the expected loss from starting a task beside the given loads:
 // 0 for none, 1 for a service that misses its target by its whole length. It
-// takes the expectation plus one deviation, so that unknown kinds are spread,
+// takes the recent peak plus half a deviation, so that unknown kinds are spread,
 // and counts only what the task adds. It allocates nothing.
 func (e *Estimator) Loss(t *guavascale.Task, beside []Load) float64 {
 	if t.Class == guavascale.ClassService {
@@ -143,7 +147,7 @@
 	if more != nil {
 		p.add(more.Kind, float64(more.Size.MilliCores)/coreMilliCores)
 	}
-	return p.mean + math.Sqrt(max(p.variance(), 0))
+	return p.mean + placementDeviations*math.Sqrt(max(p.variance(), 0))
 }
 
 func (e *Estimator) filter(service string) *filter {
