guavashard: describe workers to placement once per step

The description was built for each task, with a list of the tasks of each worker. Rooms are now built once per Step and updated by the starts of that Step, and what depends on the task is filled in once for each kind of task.

--- a/guavashard/bench_test.go
+++ b/guavashard/bench_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
+	"guavascale.example/guavainterference"
 )
 
 // benchShard returns a settled shard with ten batch tasks and two service
@@ -128,3 +129,28 @@
 	}
 	return bytes
 }
+
+// BenchmarkDecision measures the choice of a worker for one task, with tasks of
+// two kinds in turn.
+func BenchmarkDecision(b *testing.B) {
+	for _, workers := range []int{8, 16, 32, 64} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			h := benchShard(b, workers)
+			var est guavainterference.Estimator
+			h.view.Interference = est.Loss
+			h.shard.Step(h.clock.now, &h.view)
+			tasks := []*entry{{}, {}}
+			for i, kind := range []string{"audit-pack", "render"} {
+				tasks[i].task = guavascale.Task{
+					Class: guavascale.ClassBatch, Kind: kind, Size: guavascale.Resources{MilliCores: 1000, MemoryMB: 512},
+				}
+			}
+			h.shard.prepareRooms()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				h.shard.choose(tasks[i%2])
+			}
+		})
+	}
+}
--- a/guavashard/schedule.go
+++ b/guavashard/schedule.go
@@ -75,6 +75,7 @@
 	if len(s.waiting) == 0 {
 		return
 	}
+	s.prepareRooms()
 	slices.SortStableFunc(s.waiting, func(a, b *entry) int { return rank(&a.task) - rank(&b.task) })
 	mayStart := s.now.Before(s.view.StartUntil) && !s.view.Config.ZonesOut[s.Zone]
 	var refused refusals
@@ -136,7 +137,7 @@
 		e.refusal = reason
 		return false
 	}
-	i, refusal := guavaplace.Choose(&e.task, s.describeRooms(&e.task), s.policy(e))
+	i, refusal := s.choose(e)
 	if i < 0 {
 		e.refusal = string(refusal)
 		return false
@@ -145,7 +146,7 @@
 		e.refusal = "start rate of the preset reached"
 		return false
 	}
-	w := s.roomIDs[i]
+	w := s.rooms.workers[i]
 	t := e.task
 	t.State = guavascale.TaskStarting
 	t.Attempt++
@@ -155,6 +156,7 @@
 	e.refusal = ""
 	s.Starts++
 	s.proposeTask(t, t.Urgent)
+	s.updateRoom(i, &t)
 	return true
 }
 
@@ -173,31 +175,6 @@
 	}
 }
 
-// describeRooms fills s.rooms for one task; s.roomIDs has the workers in the
-// same order.
-func (s *Shard) describeRooms(t *guavascale.Task) []guavaplace.Room {
-	s.rooms, s.roomIDs = s.rooms[:0], s.roomIDs[:0]
-	for i := range s.view.Workers {
-		w := s.workers[s.view.Workers[i].ID]
-		if w == nil {
-			continue
-		}
-		r := guavaplace.Room{
-			Worker: w.worker.ID, Capacity: w.worker.Capacity,
-			Used: w.used, BatchUsed: w.batch, Instances: w.instances, Closed: s.closed(w),
-		}
-		if t.Class == guavascale.ClassService {
-			r.SameService = w.countService(t.Service)
-		}
-		if s.view.Interference != nil && !r.Closed {
-			r.Interference = s.view.Interference(t, w.loads)
-		}
-		s.rooms = append(s.rooms, r)
-		s.roomIDs = append(s.roomIDs, w)
-	}
-	return s.rooms
-}
-
 // overQuota returns a reason when the start would exceed the team's quota. The
 // usage in other shards is as old as their summaries, so a team may exceed its
 // quota for a few seconds by what other shards started meanwhile.
--- a/guavashard/shard.go
+++ b/guavashard/shard.go
@@ -24,7 +24,6 @@
 
 	"guavascale.example"
 	"guavascale.example/guavainterference"
-	"guavascale.example/guavaplace"
 )
 
 type (
@@ -131,8 +130,7 @@
 		inbox map[string]bool
 
 		effects Effects
-		rooms   []guavaplace.Room
-		roomIDs []*workerState
+		rooms   rooms
 	}
 
 	// entry is a task with its volatile state.
