guavalease: keep the fencing test within MinHold

TestPausedOwnerIsFenced failed in 51 of 100 runs: after 30 s the new owner releases the partition to the returned daemon, which ranks first, and the test took that rightful ownership for a fault.

--- a/guavalease/driver_test.go
+++ b/guavalease/driver_test.go
@@ -123,7 +123,7 @@
 		require.NoError(t, err)
 		link.setCut(true)
 		b := startDriver(t, table, "b")
-		time.Sleep(40 * time.Second)
+		time.Sleep(25 * time.Second) // Less than MinHold after the takeover, so that b keeps the partition.
 		taken, err := b.May("Claim-0")
 		require.NoError(t, err)
 		assert.Greater(t, taken.Epoch, right.Epoch)
