guavalease: name the safeguards that the property test depends on

Checked on a scratch copy, one change at a time: TestOwnershipIsExclusive fails when the right counts from the answer of a renewal, when the takeover lacks the session condition, the owner condition or the deletion of the session row, when overtaken reads are not ignored, when May does not check the clock, when a release does not stop acting first, and when the right lasts 13 s instead of 9.

The restarts of the observation count (failed read, long gap) are liveness rules that overlap: removing one is not caught, removing both fails TestDriversKeepOwnership/OutageTwice in some of 5 runs.

As it stands it passes 4,000 checks (54 s).

--- a/guavalease/property_test.go
+++ b/guavalease/property_test.go
@@ -183,6 +183,8 @@
 // Guards against two daemons that may act for one partition at a time, and
 // against an epoch that is granted twice, under pauses, crashes, outages, lost
 // answers, late commits and overtaken reads.
+// It fails when any one condition of the takeover, the deletion of the session
+// row or the clock check is removed.
 func TestOwnershipIsExclusive(t *testing.T) {
 	total := 0
 	rapid.Check(t, func(t *rapid.T) {
