guavadaemon: share the store's write budget between the logs of live daemons

Cause: urgent appends of many shards could exceed the store's several hundred writes a second. Ruled out: a fixed share, which would be too small for a few daemons and too large for many. Not measured yet.

--- a/guavadaemon/claims.go
+++ b/guavadaemon/claims.go
@@ -22,7 +22,7 @@
 	return &guavaclaim.Router{
 		Local: guavaclaim.NewPartitions(guavaclaim.Options{
 			Table: d.Platform.Table, Objects: d.Platform.Objects, Right: d.lease.May, Clock: d.clock,
-			Linger: claimLinger, KeepKeys: guavaconfig.Seconds(iv.KeySeconds),
+			Linger: claimLinger, Limiter: d.writes, KeepKeys: guavaconfig.Seconds(iv.KeySeconds),
 			KeepAnswers: guavaconfig.Seconds(iv.AnswerSeconds),
 		}),
 		Remote: &remoteClaims{d},
--- a/guavadaemon/daemon.go
+++ b/guavadaemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"guavascale.example"
 	"guavascale.example/guavaclaim"
@@ -61,7 +62,9 @@
 		gateway  guavagateway.Gateway
 		operator guavaoperator.Server
 		mail     *mailbox
-		control  *control
+		// writes bounds the commits of all logs of this daemon.
+		writes  *rate.Limiter
+		control *control
 		// storePool, workerPool and peerPool bound the calls under way.
 		storePool  pond.Pool
 		workerPool pond.Pool
@@ -85,7 +88,11 @@
 )
 
 const (
-	storeCalls  = 32
+	storeCalls = 32
+	// storeWrites is the part of the store's several hundred writes a second
+	// that the logs of all live daemons share.
+	storeWrites = 300
+	writeBurst  = 20
 	workerCalls = 64
 	peerCalls   = 16
 	// balancerNotice is how long readiness is false before the gateway stops
@@ -175,6 +182,7 @@
 		Table: d.Platform.Table, Clock: d.clock, Notify: d.newConfig,
 		Poll: guavaconfig.Seconds(iv.ConfigPollSeconds), Authority: guavaconfig.Seconds(iv.StartAuthoritySeconds),
 	}
+	d.writes = rate.NewLimiter(storeWrites, writeBurst)
 	d.lease = guavalease.NewDriver(guavalease.Options{
 		Config: guavalease.Config{
 			Daemon: d.Settings.Name, Address: d.addresses.Peer,
--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -4,6 +4,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"guavascale.example"
 	"guavascale.example/guavagateway"
 )
@@ -31,6 +33,7 @@
 		// A leaving daemon still completes requests and keeps its slots.
 		s.Daemons = append(s.Daemons, m.Daemon)
 	}
+	c.d.writes.SetLimit(rate.Limit(storeWrites) / rate.Limit(max(len(s.Daemons), 1)))
 	leaving := make(map[guavascale.WorkerID]bool)
 	for _, w := range c.workers {
 		leaving[w.ID] = w.Leaving
--- a/guavadaemon/shards.go
+++ b/guavadaemon/shards.go
@@ -52,7 +52,7 @@
 	o.shard = nil
 	o.log = guavalog.New(guavalog.Options{
 		Partition: o.name, Table: c.d.Platform.Table, Objects: c.d.Platform.Objects,
-		Right: c.rightAt(o.epoch), Linger: c.linger(),
+		Right: c.rightAt(o.epoch), Linger: c.linger(), Limiter: c.d.writes,
 	})
 	log := o.log
 	c.d.storePool.Submit(func() {
