internal/storetest: one in-memory table for the tests of three packages

Cause: guavalease, guavalog and guavaclaim each had a copy of the same table with faults. Ruled out: guavafake.Table, which has no commits that take effect after their caller gave up; the tests of the log need them.

--- a/guavaclaim/claims_test.go
+++ b/guavaclaim/claims_test.go
@@ -17,6 +17,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavalease"
+	"guavascale.example/internal/storetest"
 )
 
 // daemon is one Partitions with its lease, which owns the same partitions as a
@@ -51,7 +52,7 @@
 }
 
 // own starts a daemon that takes the partitions of the keys over.
-func own(table *memTable, objects *memObjects, epoch uint64, opt Options, keys ...string) *daemon {
+func own(table *storetest.Table, objects *storetest.Objects, epoch uint64, opt Options, keys ...string) *daemon {
 	d := &daemon{right: map[guavascale.Partition]guavalease.Right{}}
 	opt.Table, opt.Objects, opt.Right = table, objects, d.may
 	d.Partitions = NewPartitions(opt)
@@ -61,19 +62,19 @@
 		if _, ok := d.right[p]; ok {
 			continue
 		}
-		table.mu.Lock()
-		table.version++
-		table.rows[row] = guavascale.Row{Key: row, Version: table.version}
-		cond := guavascale.Condition{Key: row, Version: table.version}
-		table.mu.Unlock()
+		table.Mu.Lock()
+		table.Version++
+		table.Rows[row] = guavascale.Row{Key: row, Version: table.Version}
+		cond := guavascale.Condition{Key: row, Version: table.Version}
+		table.Mu.Unlock()
 		d.right[p] = guavalease.Right{Epoch: epoch, Owner: cond}
 		_ = d.Gain(context.Background(), p)
 	}
 	return d
 }
 
-func newStore() (*memTable, *memObjects) {
-	return newMemTable(), &memObjects{data: map[string][]byte{}}
+func newStore() (*storetest.Table, *storetest.Objects) {
+	return storetest.New(), storetest.NewObjects()
 }
 
 func requireTaken(t require.TestingT, c guavascale.Claims, key string) *guavascale.Answer {
@@ -104,7 +105,7 @@
 			require.NoError(t, d.Release(ctx, token))
 		}},
 		"ReleaseAnswerLost": {free: true, act: func(t *testing.T, d *daemon, token guavascale.ClaimToken) {
-			d.opt.Table.(*memTable).lose(1)
+			d.opt.Table.(*storetest.Table).Lose(1)
 			require.NoError(t, d.Release(ctx, token))
 		}},
 		"OldToken": {act: func(t *testing.T, d *daemon, token guavascale.ClaimToken) {
@@ -169,7 +170,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				table, objects := newStore()
 				d := own(table, objects, 1, Options{}, "k")
-				table.setDown(true)
+				table.SetDown(true)
 				if lapses {
 					time.AfterFunc(5*time.Second, d.lapse)
 				}
@@ -179,7 +180,7 @@
 				var down *guavascale.UnavailableError
 				require.ErrorAs(t, err, &down)
 				time.Sleep(20 * time.Second)
-				table.setDown(false)
+				table.SetDown(false)
 				d.resume()
 				time.Sleep(5 * time.Second)
 				token, err := d.Claim(context.Background(), "k")
@@ -260,14 +261,14 @@
 	}
 	var daemons []*daemon
 	for epoch := uint64(1); epoch < 6; epoch++ {
-		table.setDown(false)
+		table.SetDown(false)
 		daemons = append(daemons, own(table, objects, epoch, Options{SnapshotRecords: 3}, keys...))
 		for range 40 {
-			table.mu.Lock()
-			table.down = rnd.IntN(6) == 0
-			table.loseAnswers = rnd.IntN(6) / 5
-			table.dropCommits = rnd.IntN(6) / 5
-			table.mu.Unlock()
+			table.Mu.Lock()
+			table.Down = rnd.IntN(6) == 0
+			table.LoseAnswers = rnd.IntN(6) / 5
+			table.DropCommits = rnd.IntN(6) / 5
+			table.Mu.Unlock()
 			d := daemons[max(len(daemons)-1-rnd.IntN(2), 0)]
 			key, timeout, release := keys[rnd.IntN(len(keys))], time.Duration(rnd.IntN(3000)+1)*time.Millisecond, rnd.IntN(3) == 0
 			calls.Go(func() { request(d, key, timeout, release) })
@@ -278,7 +279,7 @@
 			time.Sleep(time.Duration(rnd.IntN(300)) * time.Millisecond)
 		}
 	}
-	table.setDown(false)
+	table.SetDown(false)
 	calls.Wait()
 	for _, d := range daemons {
 		d.lapse()
@@ -341,7 +342,7 @@
 // with 2 ms per commit.
 func BenchmarkClaim(b *testing.B) {
 	table, objects := newStore()
-	table.delay = 2 * time.Millisecond
+	table.Delay = 2 * time.Millisecond
 	keys := make([]string, 2000)
 	for i := range keys {
 		keys[i] = fmt.Sprint(i)
--- a/guavalease/driver_test.go
+++ b/guavalease/driver_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
+	"guavascale.example/internal/storetest"
 )
 
 var testPartitions = []guavascale.Partition{"Claim-0", "Claim-1", "Claim-2", "Claim-3", "Shard-a-0", "Shard-a-1"}
@@ -23,7 +24,7 @@
 	return d
 }
 
-func owners(t *testing.T, table *memTable) map[guavascale.Partition]OwnerRow {
+func owners(t *testing.T, table *storetest.Table) map[guavascale.Partition]OwnerRow {
 	rows, err := table.Scan(context.Background(), OwnerPrefix, "", 100)
 	require.NoError(t, err)
 	all := map[guavascale.Partition]OwnerRow{}
@@ -38,22 +39,22 @@
 // Guards against lost or doubled ownership when answers are lost or the store
 // is away, and against takeovers from a live owner once it returns.
 func TestDriversKeepOwnership(t *testing.T) {
-	cases := map[string]func(*memTable){
-		"NoFault": func(*memTable) {},
-		"Outage": func(m *memTable) {
-			m.setDown(true)
+	cases := map[string]func(*storetest.Table){
+		"NoFault": func(*storetest.Table) {},
+		"Outage": func(m *storetest.Table) {
+			m.SetDown(true)
 			time.Sleep(60 * time.Second)
-			m.setDown(false)
+			m.SetDown(false)
 		},
-		"RenewalAnswersLost": func(m *memTable) {
-			m.lose(6)
+		"RenewalAnswersLost": func(m *storetest.Table) {
+			m.Lose(6)
 			time.Sleep(20 * time.Second)
 		},
-		"OutageTwice": func(m *memTable) {
+		"OutageTwice": func(m *storetest.Table) {
 			for range 2 {
-				m.setDown(true)
+				m.SetDown(true)
 				time.Sleep(11 * time.Second)
-				m.setDown(false)
+				m.SetDown(false)
 				time.Sleep(2 * time.Second)
 			}
 		},
@@ -61,7 +62,7 @@
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				table := newMemTable()
+				table := storetest.New()
 				a, b := startDriver(t, table, "a"), startDriver(t, table, "b")
 				time.Sleep(90 * time.Second)
 				before := owners(t, table)
@@ -89,8 +90,8 @@
 	for name, lost := range map[string]int{"Creation": 1, "FirstTakeovers": 4, "AllTakeovers": 7} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				table := newMemTable()
-				table.lose(lost)
+				table := storetest.New()
+				table.Lose(lost)
 				d := startDriver(t, table, "a")
 				time.Sleep(60 * time.Second)
 				for _, p := range testPartitions {
@@ -98,7 +99,7 @@
 					require.NoError(t, err)
 					assert.Equal(t, uint64(1), right.Epoch)
 				}
-				table.lose(lost)
+				table.Lose(lost)
 				require.NoError(t, d.Close(context.Background()))
 				for p, o := range owners(t, table) {
 					assert.Equal(t, OwnerRow{Epoch: 1}, o, p)
@@ -115,8 +116,8 @@
 // the check refuses, and a commit that passed the check before the pause fails.
 func TestPausedOwnerIsFenced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := newMemTable()
-		link := &cutTable{memTable: table}
+		table := storetest.New()
+		link := &cutTable{Table: table}
 		a := startDriver(t, link, "a")
 		time.Sleep(10 * time.Second)
 		right, err := a.May("Claim-0")
@@ -151,12 +152,12 @@
 // Guards against a steady state that costs a write per partition.
 func TestSteadyStateWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := newMemTable()
+		table := storetest.New()
 		startDriver(t, table, "a")
 		time.Sleep(30 * time.Second)
-		before := table.count()
+		before := table.Count()
 		time.Sleep(300 * time.Second)
-		assert.LessOrEqual(t, table.count()-before, 101)
+		assert.LessOrEqual(t, table.Count()-before, 101)
 	})
 }
 
--- a/guavalease/property_test.go
+++ b/guavalease/property_test.go
@@ -11,13 +11,14 @@
 	"pgregory.net/rapid"
 
 	"guavascale.example"
+	"guavascale.example/internal/storetest"
 )
 
 type (
 	// sim runs machines over virtual time against one table.
 	sim struct {
 		t     *rapid.T
-		table *memTable
+		table *storetest.Table
 		now   time.Time
 		nodes []*node
 		// epochs holds the highest epoch at which a right held, and rows the
@@ -93,12 +94,12 @@
 		switch kind {
 		case 0: // The answer is lost after the call took effect.
 			s.perform(c)
-			n.answers = append(n.answers, Result{ID: c.ID, Err: unavailable(string(c.Kind), true)})
+			n.answers = append(n.answers, Result{ID: c.ID, Err: storetest.Unavailable(string(c.Kind), true)})
 		case 1: // The call does not reach the table.
-			n.answers = append(n.answers, Result{ID: c.ID, Err: unavailable(string(c.Kind), false)})
+			n.answers = append(n.answers, Result{ID: c.ID, Err: storetest.Unavailable(string(c.Kind), false)})
 		case 2: // The commit takes effect after its answer was given up.
 			s.late = append(s.late, c.Commit)
-			n.answers = append(n.answers, Result{ID: c.ID, Err: unavailable(string(c.Kind), true)})
+			n.answers = append(n.answers, Result{ID: c.ID, Err: storetest.Unavailable(string(c.Kind), true)})
 		default:
 			n.answers = append(n.answers, s.perform(c))
 		}
@@ -130,7 +131,7 @@
 
 func (s *sim) check() {
 	for _, p := range simPartitions {
-		if row, ok := s.table.rows[OwnerKey(p)]; ok {
+		if row, ok := s.table.Rows[OwnerKey(p)]; ok {
 			o, err := DecodeOwner(row.Value)
 			if err != nil || o.Epoch < s.rows[p] {
 				s.t.Fatalf("the owner row of %s went from epoch %d to %d (%v)", p, s.rows[p], o.Epoch, err)
@@ -173,7 +174,7 @@
 		s.late = s.late[1:]
 	}
 	s.now = s.now.Add(time.Duration(s.rnd.IntN(600)) * time.Millisecond)
-	s.table.down = s.now.Before(s.up)
+	s.table.Down = s.now.Before(s.up)
 	for _, n := range s.nodes {
 		s.run(n)
 		s.check()
@@ -188,7 +189,7 @@
 func TestOwnershipIsExclusive(t *testing.T) {
 	total := 0
 	rapid.Check(t, func(t *rapid.T) {
-		s := &sim{t: t, table: newMemTable(), now: time.Unix(0, 0), epochs: map[guavascale.Partition]uint64{}}
+		s := &sim{t: t, table: storetest.New(), now: time.Unix(0, 0), epochs: map[guavascale.Partition]uint64{}}
 		s.rows, s.gained = map[guavascale.Partition]uint64{}, map[Event]string{}
 		s.rnd = rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		s.faults = rapid.SampledFrom([]int{0, 2, 5, 15, 30}).Draw(t, "faults")
--- a/guavalog/log_test.go
+++ b/guavalog/log_test.go
@@ -16,6 +16,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavalease"
+	"guavascale.example/internal/storetest"
 )
 
 const testPartition guavascale.Partition = "Claim-1"
@@ -40,16 +41,16 @@
 }
 
 // take writes the owner row as a takeover does.
-func take(t *memTable, epoch uint64) *owner {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+func take(t *storetest.Table, epoch uint64) *owner {
+	t.Mu.Lock()
+	defer t.Mu.Unlock()
 	key := guavalease.OwnerKey(testPartition)
-	t.version++
-	t.rows[key] = guavascale.Row{Key: key, Version: t.version}
-	return &owner{right: guavalease.Right{Epoch: epoch, Owner: guavascale.Condition{Key: key, Version: t.version}}}
+	t.Version++
+	t.Rows[key] = guavascale.Row{Key: key, Version: t.Version}
+	return &owner{right: guavalease.Right{Epoch: epoch, Owner: guavascale.Condition{Key: key, Version: t.Version}}}
 }
 
-func open(tb require.TestingT, table *memTable, objects *memObjects, o *owner) (*Log, Recovered) {
+func open(tb require.TestingT, table *storetest.Table, objects *storetest.Objects, o *owner) (*Log, Recovered) {
 	l := New(Options{Partition: testPartition, Table: table, Objects: objects, Right: o.may})
 	rec, err := l.Recover(context.Background())
 	require.NoError(tb, err)
@@ -78,18 +79,18 @@
 // the store fails during an append.
 func TestAppendUnderFaults(t *testing.T) {
 	badCond := guavascale.Condition{Key: "Inbox/x", Version: 99}
-	cases := map[string]func(*memTable){
-		"NoFault":        func(*memTable) {},
-		"AnswerLost":     func(m *memTable) { m.lose(1) },
-		"AnswersLost":    func(m *memTable) { m.lose(3) },
-		"CommitLate":     func(m *memTable) { m.dropCommits = 1 },
-		"CommitsLate":    func(m *memTable) { m.dropCommits = 3 },
-		"DownThenReturn": func(m *memTable) { m.setDown(true); time.AfterFunc(20*time.Second, func() { m.setDown(false) }) },
+	cases := map[string]func(*storetest.Table){
+		"NoFault":        func(*storetest.Table) {},
+		"AnswerLost":     func(m *storetest.Table) { m.Lose(1) },
+		"AnswersLost":    func(m *storetest.Table) { m.Lose(3) },
+		"CommitLate":     func(m *storetest.Table) { m.DropCommits = 1 },
+		"CommitsLate":    func(m *storetest.Table) { m.DropCommits = 3 },
+		"DownThenReturn": func(m *storetest.Table) { m.SetDown(true); time.AfterFunc(20*time.Second, func() { m.SetDown(false) }) },
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				table, objects := newMemTable(), &memObjects{data: map[string][]byte{}}
+				table, objects := storetest.New(), storetest.NewObjects()
 				l, _ := open(t, table, objects, take(table, 1))
 				fault(table)
 				waits := []<-chan Result{}
@@ -124,18 +125,18 @@
 // Guards against a former owner that appends, and against waiting appends that
 // never hear that the right ended.
 func TestAppendAfterTheRightEnded(t *testing.T) {
-	cases := map[string]func(*memTable, *owner){
-		"OwnerRowChanged": func(m *memTable, _ *owner) { take(m, 2) },
-		"Lapsed":          func(_ *memTable, o *owner) { o.lapse() },
-		"LapsedInOutage": func(m *memTable, o *owner) {
-			m.setDown(true)
+	cases := map[string]func(*storetest.Table, *owner){
+		"OwnerRowChanged": func(m *storetest.Table, _ *owner) { take(m, 2) },
+		"Lapsed":          func(_ *storetest.Table, o *owner) { o.lapse() },
+		"LapsedInOutage": func(m *storetest.Table, o *owner) {
+			m.SetDown(true)
 			time.AfterFunc(9*time.Second, o.lapse)
 		},
 	}
 	for name, end := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				table, objects := newMemTable(), &memObjects{data: map[string][]byte{}}
+				table, objects := storetest.New(), storetest.NewObjects()
 				o := take(table, 1)
 				l, _ := open(t, table, objects, o)
 				require.NoError(t, (<-appendOne(l, 0)).Err)
@@ -144,7 +145,7 @@
 				var lease *guavascale.LeaseError
 				require.ErrorAs(t, (<-first).Err, &lease)
 				require.ErrorAs(t, (<-second).Err, &lease)
-				table.setDown(false)
+				table.SetDown(false)
 				_, rec := open(t, table, objects, take(table, 3))
 				assert.Equal(t, map[string]int{"0": 1}, records(rec))
 			})
@@ -158,10 +159,10 @@
 	for name, others := range map[string]int{"Alone": 0, "WithOthers": 2} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				table, objects := newMemTable(), &memObjects{data: map[string][]byte{}}
+				table, objects := storetest.New(), storetest.NewObjects()
 				l, _ := open(t, table, objects, take(table, 1))
 				l.opt.Linger = 10 * time.Millisecond
-				table.dropCommits, table.hold = 1, true
+				table.DropCommits, table.Hold = 1, true
 				rejected := appendOne(l, 0, guavascale.Condition{Key: "Inbox/x"})
 				for i := range others {
 					appendOne(l, i+1)
@@ -172,7 +173,7 @@
 				require.NoError(t, err)
 				var cond *guavascale.ConditionError
 				require.ErrorAs(t, (<-rejected).Err, &cond)
-				table.hold = false
+				table.Hold = false
 				put.Writes[0].Delete = true
 				_, err = table.Commit(context.Background(), put)
 				require.NoError(t, err)
@@ -195,13 +196,13 @@
 }
 
 func runHistory(t *rapid.T, rnd *rand.Rand) {
-	table, objects := newMemTable(), &memObjects{data: map[string][]byte{}}
+	table, objects := storetest.New(), storetest.NewObjects()
 	committed, failed := map[string]bool{}, map[string]bool{}
 	var mu sync.Mutex
 	next := 0
 	// The last epoch checks the one before it.
 	for epoch := uint64(1); epoch < 7; epoch++ {
-		table.setDown(false)
+		table.SetDown(false)
 		l, rec := open(t, table, objects, take(table, epoch))
 		have := records(rec)
 		for _, r := range decodeState(rec.Snapshot) {
@@ -222,15 +223,15 @@
 		last := rec.Sequence + uint64(len(rec.Batches))
 		if rnd.IntN(2) == 0 {
 			value, _ := json.Marshal(state)
-			table.lose(rnd.IntN(2))
+			table.Lose(rnd.IntN(2))
 			_ = l.Snapshot(context.Background(), last, value)
 		}
 		for range rnd.IntN(30) {
-			table.mu.Lock()
-			table.down = rnd.IntN(6) == 0
-			table.loseAnswers = rnd.IntN(8) / 7
-			table.dropCommits = rnd.IntN(8) / 7
-			table.mu.Unlock()
+			table.Mu.Lock()
+			table.Down = rnd.IntN(6) == 0
+			table.LoseAnswers = rnd.IntN(8) / 7
+			table.DropCommits = rnd.IntN(8) / 7
+			table.Mu.Unlock()
 			name := string(record(next))
 			l.Append(Entry{Records: []json.RawMessage{record(next)}, Done: func(r Result) {
 				mu.Lock()
@@ -245,7 +246,7 @@
 			time.Sleep(time.Duration(rnd.IntN(200)) * time.Millisecond)
 		}
 	}
-	table.setDown(false)
+	table.SetDown(false)
 	time.Sleep(time.Minute)
 }
 
@@ -257,7 +258,7 @@
 
 // snapshotTable runs a function before the first read of log rows.
 type snapshotTable struct {
-	*memTable
+	*storetest.Table
 	before func()
 }
 
@@ -267,19 +268,19 @@
 		s.before = nil
 		before()
 	}
-	return s.memTable.Scan(ctx, prefix, after, limit)
+	return s.Table.Scan(ctx, prefix, after, limit)
 }
 
 // Guards against a recovery that misses rows which an earlier log of the same
 // ownership replaced by a snapshot meanwhile.
 func TestRecoverDuringSnapshot(t *testing.T) {
-	table, objects := newMemTable(), &memObjects{data: map[string][]byte{}}
+	table, objects := storetest.New(), storetest.NewObjects()
 	o := take(table, 1)
 	old, _ := open(t, table, objects, o)
 	for i := range 3 {
 		require.NoError(t, (<-appendOne(old, i)).Err)
 	}
-	hooked := &snapshotTable{memTable: table, before: func() {
+	hooked := &snapshotTable{Table: table, before: func() {
 		require.NoError(t, old.Snapshot(context.Background(), 3, []byte("state")))
 	}}
 	l := New(Options{Partition: testPartition, Table: hooked, Objects: objects, Right: o.may})
@@ -290,7 +291,7 @@
 
 // Guards against rows and objects that pile up after snapshots.
 func TestSnapshotRemovesWhatItReplaces(t *testing.T) {
-	table, objects := newMemTable(), &memObjects{data: map[string][]byte{}}
+	table, objects := storetest.New(), storetest.NewObjects()
 	l, _ := open(t, table, objects, take(table, 1))
 	var last uint64
 	for round := range 3 {
@@ -301,8 +302,8 @@
 		}
 		require.NoError(t, l.Snapshot(context.Background(), last, []byte{byte(round)}))
 	}
-	assert.Len(t, objects.data, 1)
-	assert.Len(t, table.rows, 2)
+	assert.Len(t, objects.Data, 1)
+	assert.Len(t, table.Rows, 2)
 	_, rec := open(t, table, objects, take(table, 2))
 	assert.Equal(t, Recovered{Snapshot: []byte{2}, Sequence: last}, rec)
 }
@@ -321,8 +322,8 @@
 
 // BenchmarkAppend measures appends per second with 2 ms per commit.
 func BenchmarkAppend(b *testing.B) {
-	table, objects := newMemTable(), &memObjects{data: map[string][]byte{}}
-	table.delay = 2 * time.Millisecond
+	table, objects := storetest.New(), storetest.NewObjects()
+	table.Delay = 2 * time.Millisecond
 	l, _ := open(b, table, objects, take(table, 1))
 	b.SetParallelism(100)
 	b.RunParallel(func(pb *testing.PB) {
