--- a/guavadaemon/state.go
+++ b/guavadaemon/state.go
@@ -47,6 +47,13 @@
 	}
 )
 
+// ConfigVersion returns the version of the configuration in force here; 0 when
+// there is none yet.
+func (d *Daemon) ConfigVersion() uint64 {
+	cfg, _ := d.watcher.Config()
+	return cfg.Version
+}
+
 // State collects the state dump.
 func (d *Daemon) State(ctx context.Context) (State, error) {
 	var mem runtime.MemStats
