--- a/guavaroute/budget.go
+++ b/guavaroute/budget.go
@@ -1,10 +1,14 @@
 package guavaroute
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// Budget limits retries to a part of the requests that were answered. It is a
-// token bucket: an answer adds Ratio tokens, a retry takes one. In an outage of
-// all endpoints no answer comes, so that retries end. Its zero value allows the
+// Budget limits retries to a part of the requests that were answered recently.
+// It is a token bucket: an answer adds Ratio tokens, a retry takes one, and
+// tokens that are not used are lost within about burstTime. In an outage of all
+// endpoints no answer comes, so that retries end. Its zero value allows the
 // default ratio.
 type Budget struct {
 	// Ratio is the number of retries per answered request; 0 stands for
@@ -18,10 +22,12 @@
 }
 
 const (
-	// maxTokens bounds the retries in a burst after a quiet time. A window of
-	// the last 10 s in its place sent 1.25 times the accepted requests in a
-	// short outage.
-	maxTokens = 10
+	// burstTime is the time constant of the loss of tokens. The burst at the
+	// start of an outage is at most the retries earned in this time: with
+	// 10 s, a short outage of all endpoints had 1.25 times the accepted
+	// requests sent; a fixed bound of 10 tokens left requests without a retry
+	// until failed endpoints were ejected.
+	burstTime = 500 * time.Millisecond
 	// idleTokens are restored whatever the traffic, at idleRate per second,
 	// so that a daemon with few requests can retry at all.
 	idleTokens = 3
@@ -29,17 +35,18 @@
 )
 
 // Answered counts a request that an endpoint answered.
-func (b *Budget) Answered() {
+func (b *Budget) Answered(now time.Time) {
+	b.update(now)
 	ratio := b.Ratio
 	if ratio <= 0 {
 		ratio = DefaultRetryRatio
 	}
-	b.tokens = min(b.tokens+ratio, max(b.tokens, maxTokens))
+	b.tokens += ratio
 }
 
 // Retry takes one retry from the budget and reports whether it was there.
 func (b *Budget) Retry(now time.Time) bool {
-	b.restore(now)
+	b.update(now)
 	if b.tokens < 1 {
 		b.refused++
 		return false
@@ -49,11 +56,16 @@
 	return true
 }
 
-func (b *Budget) restore(now time.Time) {
-	if b.updated.IsZero() {
-		b.tokens = max(b.tokens, idleTokens)
-	} else if b.tokens < idleTokens {
-		b.tokens = min(idleTokens, b.tokens+idleRate*now.Sub(b.updated).Seconds())
+func (b *Budget) update(now time.Time) {
+	passed := now.Sub(b.updated)
+	switch {
+	case b.updated.IsZero():
+		b.tokens = idleTokens
+	case b.tokens > idleTokens:
+		keep := math.Exp(-passed.Seconds() / burstTime.Seconds())
+		b.tokens = idleTokens + (b.tokens-idleTokens)*keep
+	default:
+		b.tokens = min(idleTokens, b.tokens+idleRate*passed.Seconds())
 	}
 	b.updated = now
 }
--- a/guavaroute/router.go
+++ b/guavaroute/router.go
@@ -213,7 +213,7 @@
 	es.worker.inUse--
 	es.observe(now, res)
 	if !res.Rejected && !res.Failed {
-		r.Budget.Answered()
+		r.Budget.Answered(now)
 	}
 	es.ejection.end(now, p.probe, res, es.service.maySpare())
 	var events []Event
