guavagateway: add optional hedging of idempotent requests

It is off unless HedgeAfter is set. The attempt that is not needed has its connection's deadline moved to the past, so that it ends at once, is closed, and counts neither as a failure nor as a latency. Callers of HTTP/1.0 are forwarded as HTTP/1.1.

Ruled out: a context per attempt, since reads and writes of a connection do not observe it. Not measured: the effect of hedging on tail latency.

--- a/guavagateway/broken_test.go
+++ b/guavagateway/broken_test.go
@@ -190,3 +190,25 @@
 		}
 	}
 }
+
+// TestHedge guards against a hedged POST, against two answers to one caller,
+// and against a connection that is reused after its request was cut off.
+func TestHedge(t *testing.T) {
+	slow := func(c net.Conn, r *http.Request, _ string) bool {
+		time.Sleep(100 * time.Millisecond)
+		return echo(c, r, "slow")
+	}
+	quick := func(c net.Conn, r *http.Request, _ string) bool { return echo(c, r, "quick") }
+	a, b := newEndpoint(t, 1, nil, slow), newEndpoint(t, 2, nil, quick)
+	f := newGateway(t, &Gateway{HedgeAfter: 5 * time.Millisecond}, nil, a, b)
+	for i := range 20 {
+		body := fmt.Sprint("post-", i)
+		status, _, _ := f.do(t, "POST", "/svc/x", body)
+		require.Equal(t, 200, status)
+		require.Equal(t, 1, a.ran(body)+b.ran(body))
+		status, _, got := f.do(t, "PUT", "/svc/x", fmt.Sprint("put-", i))
+		require.Equal(t, 200, status)
+		require.Contains(t, []string{"slow", "quick"}, got)
+	}
+	require.Eventually(t, func() bool { return f.State().Routes.InUse() == 0 }, 5*time.Second, time.Millisecond)
+}
--- a/guavagateway/call.go
+++ b/guavagateway/call.go
@@ -24,7 +24,9 @@
 		// rejected is set when the endpoint answered that it did not run the
 		// request.
 		rejected bool
-		elapsed  time.Duration
+		// cut is set when the gateway itself ended the attempt.
+		cut     bool
+		elapsed time.Duration
 	}
 )
 
@@ -48,45 +50,49 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// attempt sends req to the endpoint of a pick and reads the answer into resp.
-func (g *Gateway) attempt(p guavaroute.Pick, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) reply {
+// attempt sends the request of a try to its endpoint and reads the answer.
+func (g *Gateway) attempt(t *try) reply {
 	started := time.Now()
-	wrote, err := g.send(p, req, resp, deadline)
-	rep := reply{wrote: wrote, elapsed: time.Since(started)}
-	if err != nil {
+	rep := g.exchangeOnce(t)
+	rep.elapsed = time.Since(started)
+	if rep.err != nil {
 		rep.err = &guavascale.UnavailableError{
-			System:         "worker " + string(p.Endpoint.Worker),
+			System:         "worker " + string(t.pick.Endpoint.Worker),
 			Op:             "the request",
-			MayHaveApplied: wrote,
-			Cause:          err,
+			MayHaveApplied: rep.wrote,
+			Cause:          rep.err,
 		}
+		return rep
 	}
-	if err == nil && resp.StatusCode() == fasthttp.StatusServiceUnavailable && string(resp.Header.Peek(headerNotRun)) == "true" {
-		rep.rejected = true
-	}
+	rep.rejected = t.resp.StatusCode() == fasthttp.StatusServiceUnavailable &&
+		string(t.resp.Header.Peek(headerNotRun)) == "true"
 	return rep
 }
 
-// send uses one connection, or a further one when an idle connection turned out
-// to be broken before any byte was written to it. A connection is kept only
-// when the endpoint echoes Request-Id, for otherwise a late or repeated answer
-// could be taken for the answer to the next request.
-func (g *Gateway) send(p guavaroute.Pick, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) (wrote bool, err error) {
+// exchangeOnce uses one connection, or a further one when an idle connection
+// turned out to be broken before any byte was written to it. A connection is
+// kept only when the endpoint echoes Request-Id, for otherwise a late or
+// repeated answer could be taken for the answer to the next request.
+func (g *Gateway) exchangeOnce(t *try) reply {
 	for {
-		c, err := g.pool.get(p.Endpoint, p.Connections, deadline)
+		c, err := g.pool.get(t.pick.Endpoint, t.pick.Connections, t.deadline)
 		if err != nil {
-			return false, err
+			return reply{err: err}
+		}
+		if t.line.hold(c) {
+			err = g.exchange(c, t.req, t.resp, t.deadline)
+		} else {
+			err = os.ErrDeadlineExceeded
 		}
-		err = g.exchange(c, req, resp, deadline)
-		wrote := c.written > 0
-		stale := !c.idle.IsZero() && !wrote
-		if err == nil && c.echoes && !resp.Header.ConnectionClose() && c.r.Buffered() == 0 {
-			g.pool.put(c, p.Connections)
-			return wrote, nil
+		rep := reply{err: err, wrote: c.written > 0, cut: t.line.drop()}
+		stale := !c.idle.IsZero() && !rep.wrote && !rep.cut
+		if err == nil && !rep.cut && c.echoes && !t.resp.Header.ConnectionClose() && c.r.Buffered() == 0 {
+			g.pool.put(c, t.pick.Connections)
+			return rep
 		}
 		g.pool.discard(c)
 		if err == nil || !stale {
-			return wrote, err
+			return rep
 		}
 	}
 }
@@ -161,7 +167,7 @@
 func (r reply) result() guavaroute.Result {
 	failed := r.err != nil
 	var limit *limitError
-	if errors.As(r.err, &limit) {
+	if errors.As(r.err, &limit) || (failed && r.cut) {
 		return guavaroute.Result{Elapsed: r.elapsed, Rejected: true}
 	}
 	if failed && r.timedOut() && r.elapsed < minFailureTime {
--- a/guavagateway/gateway_test.go
+++ b/guavagateway/gateway_test.go
@@ -279,10 +279,15 @@
 	status, _, _ := f.do(t, "PUT", "/svc/a%2Fb//c?q=%20", "x", "X-Own: 1", "Te: trailers", "Request-Id: mine")
 	require.Equal(t, 200, status)
 	r := <-seen
+	require.Equal(t, "HTTP/1.1", r.Proto)
 	require.Equal(t, "/svc/a%2Fb//c?q=%20", r.RequestURI)
 	require.Equal(t, "1", r.Header.Get("X-Own"))
 	require.Empty(t, r.Header.Get("Te"))
 	require.NotEqual(t, "mine", r.Header.Get(headerRequestID))
+	status, _, body := f.do(t, "HEAD", "/svc/x", "")
+	require.Equal(t, 200, status)
+	require.Empty(t, body)
+	<-seen
 	http.DefaultClient.CloseIdleConnections()
 
 	addr := strings.TrimPrefix(f.url, "http://")
--- a/guavagateway/guavagateway.go
+++ b/guavagateway/guavagateway.go
@@ -75,7 +75,10 @@
 		// Clock is the source of time; nil is guavascale.WallClock.
 		Clock  guavascale.Clock
 		Limits Limits
-		Log    zerolog.Logger
+		// HedgeAfter sends an idempotent request without an answer after this
+		// time to a second endpoint, within the retry budget; 0 never does.
+		HedgeAfter time.Duration
+		Log        zerolog.Logger
 		// Registry receives the metrics; nil is a registry of its own.
 		Registry metrics.Registry
 
--- a/guavagateway/handle.go
+++ b/guavagateway/handle.go
@@ -241,21 +241,14 @@
 	if f != nil {
 		return guavascale.Answer{}, f
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	prepare(req, &r.ctx.Request)
 	for {
-		resp.Reset()
-		rep := r.g.attempt(pick, req, resp, r.deadline)
-		r.g.done(pick, rep)
-		if rep.err == nil && !rep.rejected {
-			return r.answer(resp), nil
+		t := r.send(pick)
+		if t.answered() {
+			defer t.release()
+			return r.answer(t.resp), nil
 		}
-		if rep.wrote && !rep.rejected {
-			r.mayHaveRun = true
-		}
-		r.tried = append(r.tried, pick.Endpoint.Task)
+		rep := t.rep
+		t.release()
 		next, ok := r.retry(rep)
 		if !ok {
 			return guavascale.Answer{}, r.failure(rep)
@@ -267,13 +260,19 @@
 // retry takes a slot for another attempt. A non-idempotent request is not sent
 // again once a byte of it was written, even when the endpoint rejected it.
 func (r *request) retry(rep reply) (guavaroute.Pick, bool) {
-	g := r.g
 	if rep.wrote && !r.idempotent {
 		return guavaroute.Pick{}, false
 	}
 	if !time.Now().Before(r.deadline) {
 		return guavaroute.Pick{}, false
 	}
+	return r.nextPick()
+}
+
+// nextPick takes a slot of an endpoint not tried yet, and one retry of the
+// budget.
+func (r *request) nextPick() (guavaroute.Pick, bool) {
+	g := r.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p, ok := g.router.Retry(g.Clock.Now(), r.service.Name, r.tried)
@@ -329,6 +328,8 @@
 		req.Header.Del(h)
 	}
 	req.Header.ResetConnectionClose()
+	// A caller may speak HTTP/1.0, whose answers need not have a length.
+	req.Header.SetProtocol("HTTP/1.1")
 	req.UseHostHeader = true
 }
 
--- a/guavaroute/state.go
+++ b/guavaroute/state.go
@@ -69,6 +69,15 @@
 	return st
 }
 
+// InUse returns the number of requests at listed endpoints.
+func (s State) InUse() int {
+	n := 0
+	for _, e := range s.Endpoints {
+		n += e.InUse
+	}
+	return n
+}
+
 // InUse returns the number of slots in use.
 func (r *Router) InUse() int {
 	n := 0
