--- a/guavaroute/budget.go
+++ b/guavaroute/budget.go
@@ -24,9 +24,8 @@
 const (
 	// burstTime is the time constant of the loss of tokens. The burst at the
 	// start of an outage is at most the retries earned in this time: with
-	// 10 s, a short outage of all endpoints had 1.25 times the accepted
-	// requests sent; a fixed bound of 10 tokens left requests without a retry
-	// until failed endpoints were ejected.
+	// 10 s, 1.25 times the accepted requests were sent in an outage of all
+	// endpoints of half a second.
 	burstTime = 500 * time.Millisecond
 	// idleTokens are restored whatever the traffic, at idleRate per second,
 	// so that a daemon with few requests can retry at all.
