guavaroute, guavagateway: use new endpoints at once; leave the balancer when isolated

Ruled out: refusing requests whenever the configuration is not confirmed, since every outage of the store would stop all services. Before: a first request 7 s after the start of the daemon was refused, 5 s after the endpoint was there. After: the slots of a new worker count from the last change of the set of daemons.

--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -1,6 +1,7 @@
 package guavadaemon
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -10,6 +11,11 @@
 	"guavascale.example/guavagateway"
 )
 
+// maxConfigAge is the age of the last confirmation of the configuration from
+// which on a daemon without live peers counts as isolated. Endpoints that leave
+// get no requests after 3 s.
+const maxConfigAge = 3 * time.Second
+
 // publish gives the gateway a new snapshot and the peers a new summary.
 func (c *control) publish(now time.Time, cfg *guavascale.Config, preset guavascale.Preset) {
 	c.sequence++
@@ -27,12 +33,14 @@
 	c.d.members.SetSelf(self)
 	s := &guavagateway.Snapshot{
 		Daemon: c.d.Settings.Name, Zone: c.d.Settings.Zone, Services: cfg.Services,
-		ZonesOut: cfg.ZonesOut, Preset: preset,
+		ZonesOut: cfg.ZonesOut, Preset: preset, Isolated: c.isolated(now),
 	}
 	for _, m := range c.d.members.Live(now) {
 		// A leaving daemon still completes requests and keeps its slots.
 		s.Daemons = append(s.Daemons, m.Daemon)
 	}
+	// A restarted daemon is listed twice until its earlier run counts as dead.
+	s.Daemons = slices.Compact(s.Daemons)
 	c.d.writes.SetLimit(rate.Limit(storeWrites) / rate.Limit(max(len(s.Daemons), 1)))
 	leaving := make(map[guavascale.WorkerID]bool)
 	for _, w := range c.workers {
@@ -47,6 +55,17 @@
 	c.d.gateway.Set(s)
 }
 
+// isolated reports whether the daemon reaches neither the store nor any of the
+// peers that it knows. With the store alone down all daemons are in the same
+// position, and nobody can change the configuration.
+func (c *control) isolated(now time.Time) bool {
+	age, ok := c.d.watcher.Age()
+	if ok && age < maxConfigAge {
+		return false
+	}
+	return c.d.members.Known() > 0 && len(c.d.members.Live(now)) <= 1
+}
+
 // instance names this run of the daemon towards peers.
 func (d *Daemon) instance() string {
 	return d.Settings.Name + "-" + d.started.UTC().Format("20060102T150405.000000000")
--- a/guavagateway/gateway_test.go
+++ b/guavagateway/gateway_test.go
@@ -124,6 +124,19 @@
 	}
 }
 
+// TestIsolated guards against callers at a daemon whose view may be out of date.
+func TestIsolated(t *testing.T) {
+	a := newEndpoint(t, 1, nil, echo)
+	f := newGateway(t, &Gateway{}, nil, a)
+	require.True(t, f.Ready())
+	s := *f.snapshot.Load()
+	s.Isolated = true
+	f.Set(&s)
+	require.False(t, f.Ready())
+	status, _, _ := f.do(t, "POST", "/svc/x", "still served")
+	require.Equal(t, 200, status)
+}
+
 // TestPriorities guards against urgent requests that are refused while lower
 // ones are served, and against a refused request that ran.
 func TestPriorities(t *testing.T) {
--- a/guavagateway/guavagateway.go
+++ b/guavagateway/guavagateway.go
@@ -45,6 +45,10 @@
 		Services  map[string]guavascale.Service
 		Endpoints []guavascale.Endpoint
 		// ZonesOut holds the zones that get no requests.
+		// Isolated is set while the daemon reaches neither the store nor any
+		// peer. Its view of zones and endpoints may then be out of date while
+		// that of the others is not, so callers should go to other daemons.
+		Isolated bool
 		ZonesOut map[guavascale.Zone]bool
 		Preset   guavascale.Preset
 	}
@@ -186,7 +190,8 @@
 func (g *Gateway) Ready() bool {
 	g.init()
 	at := g.readyAt.Load()
-	return at != 0 && g.Clock.Now().UnixNano() >= at && !g.draining.Load()
+	s := g.snapshot.Load()
+	return s != nil && !s.Isolated && at != 0 && g.Clock.Now().UnixNano() >= at && !g.draining.Load()
 }
 
 // Serve answers callers on ln until Shutdown. It fails with the listener's
--- a/guavapeer/members.go
+++ b/guavapeer/members.go
@@ -134,6 +134,14 @@
 	return list
 }
 
+// Known returns the number of peers that were heard of in the last 10 minutes,
+// live or not.
+func (m *Members) Known() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers)
+}
+
 // Targets returns the addresses of at most n peers to talk to: first those
 // under suspicion, which are probed that way, then random others.
 func (m *Members) Targets(now time.Time, n int, r *rand.Rand) []string {
--- a/guavaroute/guavaroute_test.go
+++ b/guavaroute/guavaroute_test.go
@@ -62,7 +62,7 @@
 }
 
 // TestSharesOverTime guards against two daemons that use the same slot while
-// their lists of live daemons differ by up to 3 s.
+// their lists of live daemons differ by up to 3 s and the worker comes and goes.
 func TestSharesOverTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		all := names(7)
@@ -75,6 +75,7 @@
 		now := start
 		for range rapid.IntRange(1, 20).Draw(t, "changes") {
 			live := rapid.SliceOfNDistinct(rapid.SampledFrom(all), 1, 7, rapid.ID[string]).Draw(t, "live")
+			listed := rapid.IntRange(0, 3).Draw(t, "listed") > 0
 			for _, d := range all {
 				lists[d] = append(lists[d], live)
 				next[d] = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "lag")) * time.Millisecond)
@@ -86,6 +87,9 @@
 					if len(lists[d]) > 0 && !now.Before(next[d]) {
 						v := view(1, 8)
 						v.Daemon, v.Daemons = d, lists[d][len(lists[d])-1]
+						if !listed {
+							v.Endpoints = nil
+						}
 						routers[d].Update(now, v)
 						lists[d] = nil
 					}
@@ -99,6 +103,33 @@
 	})
 }
 
+// TestNewEndpoint guards against new endpoints that stay unusable although no
+// daemon came or went, and against the use of a slot that another daemon may
+// still hold.
+func TestNewEndpoint(t *testing.T) {
+	tests := map[string]struct {
+		stable time.Duration
+		want   int
+	}{
+		"daemons unchanged for long": {GainDelay, 8},
+		"daemons just changed":       {GainDelay - time.Second, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &Router{}
+			v := view(1, 8)
+			v.Daemon, v.Daemons = "d0", []string{"d0"}
+			endpoints := v.Endpoints
+			v.Endpoints = nil
+			r.Update(start, v)
+			v.Endpoints = endpoints
+			now := start.Add(tt.stable)
+			r.Update(now, v)
+			require.Equal(t, tt.want, r.workers["w0"].usable(now))
+		})
+	}
+}
+
 // TestEjectionFloor guards against an outage that ejects most endpoints, and
 // against an ejected endpoint that never returns.
 func TestEjectionFloor(t *testing.T) {
--- a/guavaroute/router.go
+++ b/guavaroute/router.go
@@ -19,13 +19,15 @@
 		// Budget limits retries.
 		Budget Budget
 
-		view      View
-		workers   map[guavascale.WorkerID]*workerState
-		endpoints map[guavascale.TaskID]*endpointState
-		services  map[string]*serviceState
-		scratch   []Candidate
-		free      []*endpointState
-		heads     []head
+		view View
+		// daemonsSince is when the set of daemons changed last.
+		daemonsSince time.Time
+		workers      map[guavascale.WorkerID]*workerState
+		endpoints    map[guavascale.TaskID]*endpointState
+		services     map[string]*serviceState
+		scratch      []Candidate
+		free         []*endpointState
+		heads        []head
 	}
 
 	head struct {
@@ -63,6 +65,9 @@
 // or whose zone is out get no request from then on; requests in progress there
 // go on. The events decide on waiting tickets.
 func (r *Router) Update(now time.Time, v View) []Event {
+	if !slices.Equal(r.view.Daemons, v.Daemons) {
+		r.daemonsSince = now
+	}
 	r.view = v
 	r.Budget.Ratio = retryRatio(v.Preset)
 	r.updateWorkers(now, v)
@@ -72,19 +77,24 @@
 
 func (r *Router) updateWorkers(now time.Time, v View) {
 	old := r.workers
+	// The slots of a worker that was not known are held as long as the set of
+	// daemons has been the same, since that set alone decides on the shares. A
+	// new endpoint is thus usable at once while no daemon comes or goes.
 	r.workers = make(map[guavascale.WorkerID]*workerState, len(old))
 	for _, e := range v.Endpoints {
 		w := r.workers[e.Worker]
 		if w == nil {
+			since := now
 			w = old[e.Worker]
 			if w == nil {
 				w = &workerState{}
+				since = r.daemonsSince
 			}
 			w.services = nil
 			r.workers[e.Worker] = w
 			a := Share(e.Worker, v.Daemon, v.Daemons, e.Slots, e.Connections)
-			w.slots.set(now, a.Slots)
-			w.connections.set(now, a.Connections)
+			w.slots.set(since, a.Slots)
+			w.connections.set(since, a.Connections)
 		}
 		if !slices.Contains(w.services, e.Service) {
 			w.services = append(w.services, e.Service)
