guavaclaim, guavapeer, guavadaemon: give back a claim whose answer was lost

Cause: when the answer of a remote claim is lost, the request is refused as not run, but the owner may have granted the key; each repeat was then told that it may have run, for an hour, although it never did. Ruled out: asking again for the claim, since the second claim of a key cannot be told from the first without an ID. Change: the caller chooses the claim's ID and releases it after the loss.

--- a/guavaclaim/claims.go
+++ b/guavaclaim/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"slices"
 
@@ -14,6 +15,12 @@
 // AlreadyRunError, ValidationError or UnavailableError; a full table wraps
 // FullError in the latter.
 func (p *Partitions) Claim(ctx context.Context, key string) (guavascale.ClaimToken, error) {
+	return p.ClaimAs(ctx, key, rand.Text())
+}
+
+// ClaimAs is Claim with a random token ID of the caller's. A caller on another
+// daemon whose answer was lost releases the claim by that ID.
+func (p *Partitions) ClaimAs(ctx context.Context, key, id string) (guavascale.ClaimToken, error) {
 	if key == "" || len(key) > MaxKeyBytes {
 		return guavascale.ClaimToken{}, &guavascale.ValidationError{
 			Field: "Idempotency-Key", Value: key[:min(len(key), 32)], Allowed: "1 to 256 bytes",
@@ -27,7 +34,7 @@
 		p.mu.Unlock()
 		return guavascale.ClaimToken{}, unavailable("Claim", err)
 	}
-	c, err := p.add(t, key)
+	c, err := p.add(t, key, id)
 	p.mu.Unlock()
 	if err != nil {
 		return guavascale.ClaimToken{}, err
--- a/guavaclaim/partitions.go
+++ b/guavaclaim/partitions.go
@@ -3,7 +3,6 @@
 import (
 	"container/list"
 	"context"
-	"crypto/rand"
 	"errors"
 	"sync"
 	"time"
@@ -164,7 +163,7 @@
 
 // add adds a claim in state pending, or tells why it cannot be granted.
 // p.mu is held.
-func (p *Partitions) add(t *table, key string) (*claim, error) {
+func (p *Partitions) add(t *table, key, id string) (*claim, error) {
 	now := p.opt.Clock.Now()
 	p.expire(t, now)
 	if c := t.keys[key]; c != nil {
@@ -178,7 +177,7 @@
 	if p.keys >= p.opt.MaxKeys {
 		return nil, unavailable("Claim", &FullError{MaxKeys: p.opt.MaxKeys})
 	}
-	c := &claim{key: key, id: rand.Text(), at: now, state: statePending}
+	c := &claim{key: key, id: id, at: now, state: statePending}
 	t.add(c)
 	p.keys++
 	return c, nil
--- a/guavadaemon/claims.go
+++ b/guavadaemon/claims.go
@@ -25,7 +25,7 @@
 			Linger: claimLinger, Limiter: d.writes, KeepKeys: guavaconfig.Seconds(iv.KeySeconds),
 			KeepAnswers: guavaconfig.Seconds(iv.AnswerSeconds),
 		}),
-		Remote: &remoteClaims{d},
+		Remote: &remoteClaims{d: d, find: d.ownerAddress},
 	}
 }
 
--- a/guavadaemon/daemon.go
+++ b/guavadaemon/daemon.go
@@ -69,11 +69,14 @@
 		storePool  pond.Pool
 		workerPool pond.Pool
 		peerPool   pond.Pool
-		started    time.Time
-		stopping   atomic.Bool
-		addresses  Addresses
-		ready      chan struct{}
-		newConfig  chan struct{}
+		// releasePool gives lost claims back; it is full only in an outage, in
+		// which a release has no chance either.
+		releasePool pond.Pool
+		started     time.Time
+		stopping    atomic.Bool
+		addresses   Addresses
+		ready       chan struct{}
+		newConfig   chan struct{}
 	}
 
 	// Addresses are the addresses that a running daemon listens on.
@@ -91,10 +94,12 @@
 	storeCalls = 32
 	// storeWrites is the part of the store's several hundred writes a second
 	// that the logs of all live daemons share.
-	storeWrites = 300
-	writeBurst  = 20
-	workerCalls = 64
-	peerCalls   = 16
+	storeWrites  = 300
+	writeBurst   = 20
+	workerCalls  = 64
+	peerCalls    = 16
+	releaseCalls = 32
+	releaseQueue = 1000
 	// balancerNotice is how long readiness is false before the gateway stops
 	// accepting, so that the load balancer stops sending callers.
 	balancerNotice = 2 * time.Second
@@ -177,6 +182,7 @@
 	d.storePool = pond.NewPool(storeCalls)
 	d.workerPool = pond.NewPool(workerCalls)
 	d.peerPool = pond.NewPool(peerCalls)
+	d.releasePool = pond.NewPool(releaseCalls, pond.WithQueueSize(releaseQueue), pond.WithNonBlocking(true))
 	iv := &d.Settings.Intervals
 	d.watcher = &guavaconfig.Watcher{
 		Table: d.Platform.Table, Clock: d.clock, Notify: d.newConfig,
--- a/guavadaemon/gossip.go
+++ b/guavadaemon/gossip.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	crand "crypto/rand"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,6 +11,7 @@
 	"guavascale.example"
 	"guavascale.example/guavaclaim"
 	"guavascale.example/guavaconfig"
+	"guavascale.example/guavapeer"
 )
 
 type (
@@ -16,7 +19,11 @@
 	local struct{ d *Daemon }
 
 	// remoteClaims reaches the owners of claim partitions on other daemons.
-	remoteClaims struct{ d *Daemon }
+	remoteClaims struct {
+		d *Daemon
+		// find returns the address of a partition's owner.
+		find func(guavascale.Partition) (string, error)
+	}
 )
 
 const (
@@ -25,6 +32,10 @@
 	// seedInterval is the time between exchanges with a seed peer, which join
 	// parts of the system that lost sight of each other.
 	seedInterval = 10 * time.Second
+	// A claim whose answer was lost may still be under way at its owner, so
+	// it is released after a pause.
+	releaseAttempts = 3
+	releasePause    = time.Second
 )
 
 var _ guavaclaim.Remote = (*remoteClaims)(nil)
@@ -105,7 +116,7 @@
 	l.d.peerPool.Submit(func() { l.d.adoptConfig(context.Background(), s) })
 }
 
-func (l *local) Claims() guavascale.Claims { return l.d.claims.Local }
+func (l *local) Claims() guavapeer.ClaimOwner { return l.d.claims.Local }
 
 // Work collects the content of the owned shards on the control goroutine.
 func (l *local) Work(ctx context.Context) (guavascale.Work, error) {
@@ -130,8 +141,8 @@
 	}
 }
 
-func (r *remoteClaims) owner(p guavascale.Partition) (string, error) {
-	row, ok := r.d.lease.Rights().Owner(p)
+func (d *Daemon) ownerAddress(p guavascale.Partition) (string, error) {
+	row, ok := d.lease.Rights().Owner(p)
 	if !ok || row.Address == "" {
 		return "", &guavascale.LeaseError{Partition: p, Reason: "no daemon owns the partition"}
 	}
@@ -139,15 +150,39 @@
 }
 
 func (r *remoteClaims) Claim(ctx context.Context, p guavascale.Partition, key string) (guavascale.ClaimToken, error) {
-	addr, err := r.owner(p)
+	addr, err := r.find(p)
 	if err != nil {
 		return guavascale.ClaimToken{}, err
 	}
-	return r.d.peers.Claim(ctx, addr, key)
+	id := crand.Text()
+	t, err := r.d.peers.Claim(ctx, addr, key, id)
+	var down *guavascale.UnavailableError
+	if errors.As(err, &down) && down.MayHaveApplied {
+		// The claim may have been granted. Its request is not sent, so the key
+		// must become free again.
+		lost := guavascale.ClaimToken{Key: key, Partition: p, ID: id}
+		_ = r.d.releasePool.Go(func() { r.releaseLost(lost) })
+	}
+	return t, err
+}
+
+// releaseLost gives back a claim whose answer was lost. When it cannot, the key
+// stays taken, which is safe: a repeat is told that it may have run.
+func (r *remoteClaims) releaseLost(t guavascale.ClaimToken) {
+	for range releaseAttempts {
+		time.Sleep(releasePause)
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		err := r.Release(ctx, t)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+	r.d.Log.Warn().Str("partition", string(t.Partition)).Msg("claim: a claim whose answer was lost could not be given back")
 }
 
 func (r *remoteClaims) Finish(ctx context.Context, t guavascale.ClaimToken, a guavascale.Answer) error {
-	addr, err := r.owner(t.Partition)
+	addr, err := r.find(t.Partition)
 	if err != nil {
 		return err
 	}
@@ -155,7 +190,7 @@
 }
 
 func (r *remoteClaims) Release(ctx context.Context, t guavascale.ClaimToken) error {
-	addr, err := r.owner(t.Partition)
+	addr, err := r.find(t.Partition)
 	if err != nil {
 		return err
 	}
--- a/guavapeer/client.go
+++ b/guavapeer/client.go
@@ -47,10 +47,11 @@
 	return out.Work, err
 }
 
-// Claim claims a key at the peer that owns its partition.
-func (c *Client) Claim(ctx context.Context, addr, key string) (guavascale.ClaimToken, error) {
+// Claim claims a key, under a token ID of the caller's, at the peer that owns
+// its partition.
+func (c *Client) Claim(ctx context.Context, addr, key, id string) (guavascale.ClaimToken, error) {
 	var out claimOut
-	err := c.call(ctx, addr, methodClaim, claimIn{Key: key}, &out)
+	err := c.call(ctx, addr, methodClaim, claimIn{Key: key, Token: guavascale.ClaimToken{ID: id}}, &out)
 	return out.Token, err
 }
 
--- a/guavapeer/server.go
+++ b/guavapeer/server.go
@@ -40,7 +40,14 @@
 		// Work returns the content of the owned shards.
 		Work(ctx context.Context) (guavascale.Work, error)
 		// Claims serves the claim partitions that the daemon owns.
-		Claims() guavascale.Claims
+		Claims() ClaimOwner
+	}
+
+	// ClaimOwner grants the keys of the partitions that a daemon owns.
+	ClaimOwner interface {
+		ClaimAs(ctx context.Context, key, id string) (guavascale.ClaimToken, error)
+		Finish(ctx context.Context, t guavascale.ClaimToken, a guavascale.Answer) error
+		Release(ctx context.Context, t guavascale.ClaimToken) error
 	}
 
 	// Server answers the calls of peers. Members, Local and Clock must be set
@@ -172,7 +179,7 @@
 	claims := s.Local.Claims()
 	switch env.Method {
 	case methodClaim:
-		t, err := claims.Claim(ctx, in.Key)
+		t, err := claims.ClaimAs(ctx, in.Key, in.Token.ID)
 		return claimOut{t}, err
 	case methodFinish:
 		return claimOut{}, claims.Finish(ctx, in.Token, in.Answer)
