guavagateway: test late answers and outcomes after a retry

Cause: with the safeguards removed one by one on a scratch copy, two removals went unseen: keeping a connection after its call timed out, and forgetting that an earlier attempt may have run. TestLateAnswer and a longer TestRetry see them.

--- a/guavagateway/broken_test.go
+++ b/guavagateway/broken_test.go
@@ -181,13 +181,37 @@
 
 	dead := newEndpoint(t, 3, nil, echo)
 	dead.ln.Close()
-	g := newGateway(t, &Gateway{}, nil, a, dead)
-	for range 30 {
-		ran := a.total()
-		_, outcome, _ := g.do(t, "GET", "/svc/x", "")
-		if a.total() > ran {
-			require.Equal(t, guavascale.OutcomeUnknown, outcome)
+	// A new gateway has three retries at most while nothing is answered.
+	for range 12 {
+		g := newGateway(t, &Gateway{}, nil, a, dead)
+		for range 4 {
+			ran := a.total()
+			_, outcome, _ := g.do(t, "GET", "/svc/x", "")
+			if a.total() > ran {
+				require.Equal(t, guavascale.OutcomeUnknown, outcome)
+			}
+		}
+	}
+}
+
+// TestLateAnswer guards against a connection that is used again after a call
+// on it timed out: the late answer would meet the next request.
+func TestLateAnswer(t *testing.T) {
+	e := newEndpoint(t, 1, nil, func(c net.Conn, r *http.Request, body string) bool {
+		if strings.HasPrefix(body, "late") {
+			time.Sleep(200 * time.Millisecond)
 		}
+		return echo(c, r, body)
+	})
+	f := newGateway(t, &Gateway{}, nil, e)
+	for i := range 4 {
+		status, _, _ := f.do(t, "POST", "/svc/x", fmt.Sprint("first", i))
+		require.Equal(t, 200, status)
+		_, outcome, _ := f.do(t, "POST", "/svc/x", fmt.Sprint("late", i), "Request-Timeout-Ms: 50")
+		require.Equal(t, guavascale.OutcomeUnknown, outcome)
+		status, _, got := f.do(t, "POST", "/svc/x", fmt.Sprint("next", i))
+		require.Equal(t, 200, status)
+		require.Equal(t, fmt.Sprint("next", i), got)
 	}
 }
 
