guavashard: ignore reports that were requested before an attempt was logged

Cause: the specification (STALE_REPORT) shows two running attempts when a late report of an earlier incarnation is taken for a restart. The daemon has one message per worker under way, so no such report was seen; the state machine no longer relies on that. Before: TestReportRequestedBeforeTheAttempt starts the task twice.

--- a/guavashard/order_test.go
+++ b/guavashard/order_test.go
@@ -77,3 +77,18 @@
 	require.Equal(t, 1, h.fleet.Verdict().StartsByAttempt["tally/7#4"], "attempts go on counting")
 	require.Empty(t, h.shard.Tasks())
 }
+
+// Guards against a late report of an earlier incarnation, requested before the
+// attempt was logged, that looks like a restart of the worker.
+func TestReportRequestedBeforeTheAttempt(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	requested := h.clock.now
+	h.declareSafely(testJob("tally", 1, 60))
+	h.run(5 * time.Second)
+	stale := guavascale.Report{Worker: "w0", Incarnation: "w0-0", Epoch: 1}
+	h.perform(h.shard.HandleReport(h.clock.now, requested, "w0", stale, nil))
+	h.run(2 * time.Minute)
+	require.Equal(t, 1, h.fleet.Verdict().StartsByTask["tally/0"])
+	require.Equal(t, 1, h.status("tally").Done)
+	h.requireNoViolations()
+}
--- a/guavashard/record.go
+++ b/guavashard/record.go
@@ -226,6 +226,7 @@
 	}
 	e.task = *t
 	e.attempt = t.AttemptID()
+	e.applied = s.now
 	s.link(e)
 	s.enqueue(e)
 	s.afterApply(e)
--- a/guavashard/report.go
+++ b/guavashard/report.go
@@ -84,7 +84,9 @@
 // worker's report of its attempt; a zero report means that the worker does not
 // know the attempt.
 func (s *Shard) readAttempt(w *workerState, e *entry, a guavascale.AttemptReport, sentAt time.Time) {
-	if e.next != nil {
+	// A report that was requested before the attempt was logged says nothing
+	// about it; one of an earlier incarnation would look like a restart.
+	if e.next != nil || sentAt.Before(e.applied) {
 		return
 	}
 	t := e.task
--- a/guavashard/shard.go
+++ b/guavashard/shard.go
@@ -142,6 +142,8 @@
 		attempt guavascale.AttemptID
 		// seq numbers the entries of a shard in the order of arrival.
 		seq uint64
+		// applied is when the current state was applied.
+		applied time.Time
 		// next is the proposed state, nil when there is none.
 		next *guavascale.Task
 		// sent is set once this owner sent a start order for the attempt, or
