--- a/guavashard/observe.go
+++ b/guavashard/observe.go
@@ -27,7 +27,7 @@
 func (s *Shard) observe(w *workerState) guavainterference.Worker {
 	o := guavainterference.Worker{ID: w.worker.ID, MilliCores: w.worker.Capacity.MilliCores}
 	for _, e := range w.tasks {
-		a, ok := w.reports[e.task.AttemptID()]
+		a, ok := w.reports[e.attempt]
 		if !ok || !e.seen {
 			continue
 		}
--- a/guavashard/record.go
+++ b/guavashard/record.go
@@ -229,6 +229,8 @@
 		e.since = s.now
 	}
 	e.task = *t
+	e.attempt = t.AttemptID()
+	e.applied = s.now
 	s.link(e)
 	s.enqueue(e)
 	s.afterApply(e)
--- a/guavashard/report.go
+++ b/guavashard/report.go
@@ -63,9 +63,8 @@
 func (s *Shard) readAttempts(w *workerState, sentAt time.Time) {
 	known := make(map[guavascale.AttemptID]bool, len(w.tasks))
 	for _, e := range w.tasks {
-		attempt := e.task.AttemptID()
-		known[attempt] = true
-		s.readAttempt(w, e, w.reports[attempt], sentAt)
+		known[e.attempt] = true
+		s.readAttempt(w, e, w.reports[e.attempt], sentAt)
 	}
 	w.forget, w.orphans = w.forget[:0], w.orphans[:0]
 	for _, a := range w.reports {
@@ -85,7 +84,9 @@
 // worker's report of its attempt; a zero report means that the worker does not
 // know the attempt.
 func (s *Shard) readAttempt(w *workerState, e *entry, a guavascale.AttemptReport, sentAt time.Time) {
-	if e.next != nil {
+	// A report that was requested before the attempt was logged says nothing
+	// about it; one of an earlier incarnation would look like a restart.
+	if e.next != nil || sentAt.Before(e.applied) {
 		return
 	}
 	t := e.task
