--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -30,7 +30,11 @@
 	hostsBusy bool
 	hostsNext time.Time
 	// instances is the division of each service over the shards.
-	instances     map[string]map[guavascale.Partition]int
+	instances map[string]map[guavascale.Partition]int
+	// dividedAt and divided are the configuration and the capacities that
+	// instances was made from.
+	dividedAt     uint64
+	divided       []guavaplace.ShardCapacity
 	instancesNext time.Time
 	others        []guavascale.PartitionSummary
 	sequence      uint64
@@ -249,6 +253,13 @@
 	if len(capacity) == 0 {
 		capacity = all
 	}
+	slices.SortFunc(capacity, func(a, b guavaplace.ShardCapacity) int { return cmp.Compare(a.Shard, b.Shard) })
+	// One service takes 0.1 ms with 282 shards, so that thousands of them are
+	// divided only when something changed.
+	if c.instances != nil && c.dividedAt == cfg.Version && slices.Equal(capacity, c.divided) {
+		return
+	}
+	c.dividedAt, c.divided = cfg.Version, capacity
 	c.instances = make(map[string]map[guavascale.Partition]int, len(cfg.Services))
 	for name, svc := range cfg.Services {
 		c.instances[name] = guavaplace.Divide(name, svc.Instances, capacity)
--- a/guavaplace/place.go
+++ b/guavaplace/place.go
@@ -4,8 +4,9 @@
 // worker, with its capacity and what is taken. Choose picks the worker for one
 // task: it first drops the workers that cannot hold the task, then takes the
 // one with the lowest score. The score prefers full workers for batch tasks
-// (best fit), keeps the free processors and memory of a worker in balance, spreads the instances of a service over workers, and adds the
-// expected interference. Divide splits the instances of a service over shards.
+// (best fit), keeps the free processors and memory of a worker in balance,
+// spreads the instances of a service over workers, and adds the expected
+// interference. Divide splits the instances of a service over shards.
 // Both are pure functions and allocate nothing in the steady state.
 package guavaplace
 
