--- a/cmd/guavabench/main.go
+++ b/cmd/guavabench/main.go
@@ -14,6 +14,7 @@
 
 	Interference interferenceCmd `cmd:"" help:"Compare policies against interference in virtual time."`
 	Placement    placementCmd    `cmd:"" help:"Compare placement with simple policies and measure the cost of a decision."`
+	Zones        zonesCmd        `cmd:"" help:"Compare ways to empty a zone in virtual time."`
 }
 
 func main() {
--- a/cmd/guavabench/sim.go
+++ b/cmd/guavabench/sim.go
@@ -202,6 +202,15 @@
 	return sum
 }
 
+// pending returns the waiting tasks of all shards.
+func (s *sim) pending() float64 {
+	n := 0
+	for _, sh := range s.shards {
+		n += sh.Summary().Pending
+	}
+	return float64(n)
+}
+
 // evictions returns the evictions of all shards.
 func (s *sim) evictions() int64 {
 	var n int64
