guavainterference: release throttles that do not help

A service that misses its target by itself kept all batch work beside it at 25 percent, since a release needed calm. Without the release TestMitigator/futile fails.

--- a/guavainterference/mitigate.go
+++ b/guavainterference/mitigate.go
@@ -47,6 +47,8 @@
 		breachTo   time.Time
 		// calmFrom is when the first measurement of the present calm was taken.
 		calmFrom time.Time
+		// tenseFrom is the same for the time since the last calm.
+		tenseFrom time.Time
 		// releasedAt is when a throttle was last released, and patience how
 		// long a calm must last before the next release.
 		releasedAt time.Time
@@ -83,6 +85,9 @@
 	// that always disturbs is tried rarely.
 	minPatience = 10 * time.Second
 	maxPatience = 5 * time.Minute
+	// futileAfter is how long a service has to stay above calmRatio before
+	// throttles that do not help are released.
+	futileAfter = time.Minute
 	// throttlePercent and minPercent are the steps of a throttle.
 	throttlePercent = 50
 	minPercent      = 25
@@ -135,6 +140,9 @@
 	} else if m.calm(worst.MeasuredAt) {
 		steps = m.release(w, worst, e)
 	}
+	if len(steps) == 0 && m.futile(worst.MeasuredAt) {
+		steps = releaseFutile(w, worst, e)
+	}
 	for i := range steps {
 		steps[i].Worker, steps[i].Service, steps[i].Ratio, steps[i].At = w.ID, worst.Task, worst.Ratio, now
 		m.lastStep = now
@@ -165,11 +173,13 @@
 		}
 		m.breachTo = at
 	}
-	switch {
-	case s.Ratio > calmRatio:
-		m.calmFrom = time.Time{}
-	case m.calmFrom.IsZero():
-		m.calmFrom = at
+	from, other := &m.calmFrom, &m.tenseFrom
+	if s.Ratio > calmRatio {
+		from, other = other, from
+	}
+	*other = time.Time{}
+	if from.IsZero() {
+		*from = at
 	}
 }
 
@@ -178,6 +188,11 @@
 	return !m.calmFrom.IsZero() && at.Sub(m.calmFrom) >= max(m.patience, minPatience)
 }
 
+// futile reports whether steps had long enough to help and did not.
+func (m *Mitigator) futile(at time.Time) bool {
+	return !m.tenseFrom.IsZero() && at.Sub(m.tenseFrom) >= futileAfter && at.Sub(m.lastStep) >= futileAfter
+}
+
 // relapsed makes the next release later when the last one caused a breach.
 func (m *Mitigator) relapsed(at time.Time) {
 	if m.releasedAt.IsZero() {
@@ -310,6 +325,25 @@
 	return steps
 }
 
+// releaseFutile releases the throttles that the service does not gain from, as
+// far as is known by then. A service that misses its target by itself would
+// otherwise keep all batch work beside it throttled.
+func releaseFutile(w *Worker, s *Service, e *Estimator) []Step {
+	var steps []Step
+	for i := range w.Batch {
+		b := &w.Batch[i]
+		if b.percent() == fullPercent {
+			continue
+		}
+		est := e.Get(s.Kind, b.Kind)
+		more := b.Cores * (fullPercent/float64(b.percent()) - 1)
+		if more*(est.PerCore+est.Deviation) < minRelief {
+			steps = append(steps, Step{Kind: StepRelease, Task: b.Task, Percent: fullPercent})
+		}
+	}
+	return steps
+}
+
 func released(percent int) int {
 	if percent < throttlePercent {
 		return throttlePercent
--- a/guavainterference/mitigate_test.go
+++ b/guavainterference/mitigate_test.go
@@ -34,6 +34,7 @@
 	loud, quiet := running("l/0", "loud", 100), running("q/0", "quiet", 100)
 	urgent, held := loud, running("l/0", "loud", 25)
 	urgent.Task, urgent.Urgent = "u/0", true
+	slowed := Batch{Task: "q/0", Kind: "quiet", Cores: 2, Percent: 50, Movable: true}
 	batchFirst := Policy{LatencyWeight: 1, BatchWeight: 99, EvictAfter: 5 * time.Second}
 	for name, c := range map[string]struct {
 		policy Policy
@@ -78,6 +79,15 @@
 		"releases after calm": {testPolicy, 1, []*Worker{at(0, 0.5, held), at(11, 0.5, held)}, []string{"Release l/0 50"}},
 		// A release that would bring the breach back by the estimate waits.
 		"release that would disturb": {testPolicy, 1, []*Worker{at(0, 0.8, held), at(11, 0.8, held)}, nil},
+		// A service that is slow by itself must not keep batch work throttled.
+		"futile": {
+			testPolicy, 1,
+			[]*Worker{at(0, 1.5, slowed), at(30, 1.5, slowed), at(61, 1.5, slowed)},
+			[]string{"Release q/0 100"},
+		},
+		"not futile": {
+			batchFirst, 1, []*Worker{at(0, 1.5, held), at(30, 1.5, held), at(61, 1.5, held)}, nil,
+		},
 		// After a relapse the next release takes twice as long.
 		"relapse": {
 			batchFirst, 1,
--- a/guavashard/schedule.go
+++ b/guavashard/schedule.go
@@ -91,7 +91,7 @@
 			e.refusal = "larger than any worker of the fleet"
 			continue
 		}
-		if like := refused.find(&e.task); like != nil {
+		if like := refused.find(&e.task); like != nil && !s.outwaited(e, like) {
 			e.refusal = like.refusal
 			s.considerHandOver(e, mayStart)
 			continue
@@ -171,10 +171,19 @@
 	p := &s.view.Preset
 	return guavaplace.Policy{
 		LatencyWeight: p.LatencyWeight, BatchWeight: p.BatchWeight, MaxBatchShare: p.MaxBatchShare,
-		Avoid: !e.task.Urgent && s.now.Sub(e.since) < avoidFor,
+		Avoid: s.avoids(e),
 	}
 }
 
+// avoids reports whether a task still waits rather than disturb a service.
+func (s *Shard) avoids(e *entry) bool { return !e.task.Urgent && s.now.Sub(e.since) < avoidFor }
+
+// outwaited reports whether a task may start where a younger one like it was
+// refused for the sake of a service.
+func (s *Shard) outwaited(e, like *entry) bool {
+	return like.refusal == string(guavaplace.RefusalLoss) && !s.avoids(e)
+}
+
 // overQuota returns a reason when the start would exceed the team's quota. The
 // usage in other shards is as old as their summaries, so a team may exceed its
 // quota for a few seconds by what other shards started meanwhile.
