--- a/cmd/guavabench/placement.go
+++ b/cmd/guavabench/placement.go
@@ -243,6 +243,7 @@
 	}
 	t := guavascale.Task{Class: guavascale.ClassBatch, Size: guavascale.Resources{MilliCores: 2000, MemoryMB: 4000}}
 	b.ReportAllocs()
+	b.ResetTimer()
 	for range b.N {
 		guavaplace.Choose(&t, rooms, packPolicy)
 	}
@@ -257,6 +258,7 @@
 		})
 	}
 	b.ReportAllocs()
+	b.ResetTimer()
 	for range b.N {
 		guavaplace.Divide("seats", 20, shards)
 	}
@@ -273,6 +275,7 @@
 	}
 	e.Observe(&w)
 	b.ReportAllocs()
+	b.ResetTimer()
 	for range b.N {
 		e.Loss(&t, beside)
 	}
