guavadaemon: test the control parts of three daemons in virtual time

Cause: shards, leases, logs and configuration were tested one by one only. The test runs three daemons without listeners against the stand-in, with random kills, calls that take effect up to 15 s late, links that are cut, outages, lost answers, worker restarts and zone changes for about 5 minutes of virtual time, then 20 minutes without faults.

--- a/guavaconfig/document.go
+++ b/guavaconfig/document.go
@@ -65,7 +65,7 @@
 		{path + "DrainPerSecond", &p.DrainPerSecond, 5, 0.1, 1000},
 		{path + "EvictAfterSeconds", &p.EvictAfterSeconds, 5, 0.5, 600},
 		{path + "RetryRatio", &p.RetryRatio, 0.1, 0, 1},
-		{path + "QueueMs", &p.QueueMs, 1000, 1, 30_000},
+		{path + "QueueMs", &p.QueueMs, 100, 1, 30_000},
 	}
 }
 
--- /dev/null
+++ b/guavadaemon/excuse_test.go
@@ -0,0 +1,91 @@
+package guavadaemon
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
+	"guavascale.example/guavafake"
+	"guavascale.example/guavalog"
+	"guavascale.example/guavashard"
+)
+
+// restart restarts a worker. An attempt that ended there and whose end is in no
+// log yet is then unknown to everybody, so that its task runs again; such tasks
+// are noted as forgotten.
+func (s *testSystem) restart(id guavascale.WorkerID) {
+	state := s.logged()
+	running := s.fleet.Running()[id]
+	for task, start := range s.lastStarts() {
+		t := state[task]
+		if start.Worker == id && t.State.HoldsWorker() && !slices.Contains(running, start.Attempt) {
+			s.forgotten[task] = true
+		}
+	}
+	require.NoError(s.t, s.fleet.Restart(id))
+}
+
+// lastStarts returns the latest start of each task.
+func (s *testSystem) lastStarts() map[guavascale.TaskID]guavafake.Start {
+	last := make(map[guavascale.TaskID]guavafake.Start)
+	for _, starts := range s.fleet.Verdict().StartsByZone {
+		for _, start := range starts {
+			name, _, _ := strings.Cut(string(start.Attempt), "#")
+			if task := guavascale.TaskID(name); start.At.After(last[task].At) {
+				last[task] = start
+			}
+		}
+	}
+	return last
+}
+
+// logged returns the tasks as the logs of all shards hold them. Of several
+// shards the one with the highest number of attempts and hand-overs counts.
+func (s *testSystem) logged() map[guavascale.TaskID]guavascale.Task {
+	tasks := make(map[guavascale.TaskID]guavascale.Task)
+	after := ""
+	for {
+		rows, err := linkTable{&link{testSystem: s}}.read("Log/Shard-", after)
+		require.NoError(s.t, err)
+		for _, row := range rows {
+			after = row.Key
+			var b guavalog.Batch
+			require.NoError(s.t, json.Unmarshal(row.Value, &b))
+			for _, data := range b.Records {
+				var r guavashard.Record
+				require.NoError(s.t, json.Unmarshal(data, &r))
+				if r.Task != nil && r.Task.State != guavascale.TaskHandedOver && r.Task.Attempt >= tasks[r.Task.ID].Attempt {
+					tasks[r.Task.ID] = *r.Task
+				}
+			}
+		}
+		if len(rows) == 0 {
+			return tasks
+		}
+	}
+}
+
+// read scans the table past its faults.
+func (t linkTable) read(prefix, after string) ([]guavascale.Row, error) {
+	faults := t.l.table.Faults()
+	t.l.table.SetFaults(guavafake.StoreFaults{})
+	defer t.l.table.SetFaults(faults)
+	return t.l.table.Scan(context.Background(), prefix, after, 1000)
+}
+
+// violations returns those that the system could have prevented.
+func (s *testSystem) violations() []guavafake.Violation {
+	var bad []guavafake.Violation
+	for _, v := range s.fleet.Verdict().Violations {
+		again := v.Kind == guavafake.ViolationRepeated || v.Kind == guavafake.ViolationLost
+		if again && s.forgotten[v.Task] {
+			continue
+		}
+		bad = append(bad, v)
+	}
+	return bad
+}
--- /dev/null
+++ b/guavadaemon/faults_test.go
@@ -0,0 +1,194 @@
+package guavadaemon
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
+	"guavascale.example/guavaconfig"
+	"guavascale.example/guavafake"
+	"guavascale.example/guavashard"
+)
+
+const (
+	faultJobs  = 6
+	faultTasks = 6
+	// zoneBound is the time after which no task may start in a zone taken out.
+	zoneBound = 3 * time.Second
+)
+
+// zoneLog records when a zone was out, from the acceptance of the change.
+type zoneLog struct {
+	zone      guavascale.Zone
+	out, back time.Time
+}
+
+// Guards against lost, doubled and repeated tasks, starts in a zone that is
+// out, and a configuration that reverts, when daemons are killed, paused and
+// cut off, the store is down and loses answers, and workers fail.
+func TestSystemUnderFaults(t *testing.T) {
+	// The first meter starts a goroutine for all meters, which must not belong
+	// to a test with virtual time.
+	metrics.NewMeter().Stop()
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runSystem(t, seed) })
+		})
+	}
+}
+
+func runSystem(t *testing.T, seed uint64) {
+	s := newTestSystem(t, seed)
+	time.Sleep(20 * time.Second)
+	for i := range faultJobs {
+		s.declare(fmt.Sprintf("job-%d", i), faultTasks)
+	}
+	var zones []zoneLog
+	version := uint64(0)
+	for range 100 {
+		time.Sleep(time.Duration(s.rng.IntN(6000)) * time.Millisecond)
+		zones = s.fault(zones)
+		for _, d := range s.daemons {
+			version = max(version, d.ConfigVersion())
+		}
+	}
+	s.heal(zones)
+	// Leases of 12 minutes run out, and the tasks that waited for them run.
+	time.Sleep(20 * time.Minute)
+	s.check(zones, version)
+}
+
+// declare repeats a declaration until it succeeds.
+func (s *testSystem) declare(id string, tasks int) {
+	job := guavascale.Job{
+		ID: id, Team: "audit", Kind: "audit-pack", Tasks: tasks, RunSeconds: 20 + 100*s.rng.Float64(),
+		Size: guavascale.Resources{MilliCores: 1000, MemoryMB: 512},
+	}
+	for {
+		if _, err := (&backend{s.any().Daemon}).DeclareJob(s.t.Context(), job); err == nil {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+func (s *testSystem) randomWorker() guavascale.WorkerID {
+	i := s.rng.IntN(testWorkers)
+	return guavascale.WorkerID(fmt.Sprintf("%s-%d", testZones[i%len(testZones)], i))
+}
+
+// fault brings about one event.
+func (s *testSystem) fault(zones []zoneLog) []zoneLog {
+	coin := s.rng.IntN(2) == 0
+	switch s.rng.IntN(9) {
+	case 0:
+		if len(s.daemons) > 1 {
+			s.stop(s.any())
+		}
+		s.startDaemon()
+	case 1:
+		s.any().link.set(coin, false)
+	case 2:
+		s.any().link.set(false, coin)
+	case 3:
+		s.table.SetFaults(guavafake.StoreFaults{Down: coin})
+	case 4:
+		s.table.SetFaults(guavafake.StoreFaults{LoseProbability: 0.2, Seed: s.rng.Uint64()})
+	case 5:
+		_ = s.fleet.SetFaults(s.randomWorker(), guavafake.WorkerFaults{CutOff: coin})
+	case 6:
+		s.restart(s.randomWorker())
+	case 7:
+		_ = s.fleet.SetFaults(s.randomWorker(), guavafake.WorkerFaults{LoseAnswers: 3})
+	default:
+		return s.toggleZone(zones)
+	}
+	return zones
+}
+
+// toggleZone takes a zone out or brings it back through a random daemon.
+func (s *testSystem) toggleZone(zones []zoneLog) []zoneLog {
+	zone := testZones[s.rng.IntN(len(testZones))]
+	d := s.any()
+	cfg, ok := d.watcher.Config()
+	if !ok {
+		return zones
+	}
+	kind := guavaconfig.TakeZoneOut
+	if cfg.ZonesOut[zone] {
+		kind = guavaconfig.BringZoneBack
+	}
+	began := time.Now()
+	change := guavaconfig.Change{ID: guavaconfig.NewID(), Based: cfg.Version, Kind: kind, Name: string(zone)}
+	ctx, cancel := context.WithTimeout(s.t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := d.watcher.Submit(ctx, change)
+	if kind == guavaconfig.TakeZoneOut && err == nil {
+		return append(zones, zoneLog{zone: zone, out: time.Now()})
+	}
+	if kind == guavaconfig.BringZoneBack {
+		// A change that failed may have taken effect: the zone counts as back.
+		for i := range zones {
+			if zones[i].zone == zone && zones[i].back.IsZero() {
+				zones[i].back = began
+			}
+		}
+	}
+	return zones
+}
+
+// heal ends all faults and brings all zones back.
+func (s *testSystem) heal(zones []zoneLog) {
+	s.table.SetFaults(guavafake.StoreFaults{})
+	for _, d := range s.daemons {
+		d.link.set(false, false)
+	}
+	for i := range testWorkers {
+		_ = s.fleet.SetFaults(guavascale.WorkerID(fmt.Sprintf("%s-%d", testZones[i%len(testZones)], i)), guavafake.WorkerFaults{})
+	}
+	time.Sleep(time.Minute)
+	for i := range zones {
+		if zones[i].back.IsZero() {
+			zones[i].back = time.Now()
+		}
+	}
+	for _, zone := range testZones {
+		cfg, _ := s.daemons[0].watcher.Config()
+		if !cfg.ZonesOut[zone] {
+			continue
+		}
+		change := guavaconfig.Change{ID: guavaconfig.NewID(), Based: cfg.Version, Kind: guavaconfig.BringZoneBack, Name: string(zone)}
+		_, err := s.daemons[0].watcher.Submit(s.t.Context(), change)
+		require.NoError(s.t, err)
+	}
+}
+
+func (s *testSystem) check(zones []zoneLog, version uint64) {
+	ctx := s.t.Context()
+	v := s.fleet.Verdict()
+	require.Empty(s.t, s.violations())
+	for i := range faultJobs {
+		id := fmt.Sprintf("job-%d", i)
+		row, err := s.table.Get(ctx, guavashard.JobKey(id))
+		require.NoError(s.t, err)
+		st, err := decodeStatus(row)
+		require.NoError(s.t, err)
+		require.True(s.t, st.Ended, "%s has not ended: %+v", id, st)
+		require.Equal(s.t, faultTasks, st.Done, id)
+	}
+	for _, z := range zones {
+		for _, start := range v.StartsByZone[z.zone] {
+			late := start.At.After(z.out.Add(zoneBound)) && start.At.Before(z.back)
+			require.False(s.t, late, "%s started at %s, out since %s", start.Attempt, start.At, z.out)
+		}
+	}
+	for _, d := range s.daemons {
+		require.GreaterOrEqual(s.t, d.ConfigVersion(), version, "the configuration reverted")
+	}
+}
--- /dev/null
+++ b/guavadaemon/system_test.go
@@ -0,0 +1,155 @@
+package guavadaemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"guavascale.example"
+	"guavascale.example/guavaconfig"
+	"guavascale.example/guavafake"
+)
+
+type (
+	// testSystem is a platform and the control parts of some daemons, without
+	// their listeners, in virtual time.
+	testSystem struct {
+		t       *testing.T
+		rng     *rand.Rand
+		table   guavafake.Table
+		objects guavafake.Objects
+		fleet   guavafake.Fleet
+		// mu guards daemons, which one goroutine changes.
+		mu      sync.Mutex
+		daemons []*testDaemon
+		started int
+		// forgotten holds tasks whose end was lost with its worker.
+		forgotten map[guavascale.TaskID]bool
+		ctx       context.Context
+	}
+
+	testDaemon struct {
+		*Daemon
+		link   *link
+		cancel context.CancelFunc
+	}
+
+	// link is one daemon's connection to the platform. While it is cut, calls
+	// to the store fail. While it is slow, calls take effect up to 15 s later,
+	// long after the caller gave up, as those of a process do that is paused
+	// between a check and the act.
+	link struct {
+		*testSystem
+		mu   sync.Mutex
+		cut  bool
+		slow bool
+		rng  *rand.Rand
+	}
+)
+
+const (
+	testWorkers = 16
+	maxLate     = 15 * time.Second
+)
+
+var (
+	testZones = []guavascale.Zone{"Rennes", "Brest"}
+
+	errCut  = errors.New("the link is cut")
+	errLate = errors.New("the call takes effect later")
+)
+
+func newTestSystem(t *testing.T, seed uint64) *testSystem {
+	s := &testSystem{t: t, rng: rand.New(rand.NewPCG(seed, 2)), forgotten: make(map[guavascale.TaskID]bool)}
+	var cancel context.CancelFunc
+	s.ctx, cancel = context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		// Goroutines in progress end before the virtual time does.
+		time.Sleep(time.Minute)
+	})
+	for i := range testWorkers {
+		zone := testZones[i%len(testZones)]
+		s.fleet.Add(guavascale.Worker{
+			ID: guavascale.WorkerID(fmt.Sprintf("%s-%d", zone, i)), Zone: zone, AgentAddress: "agent",
+			EndpointAddress: "endpoint", Slots: 8, Connections: 60,
+			Capacity: guavascale.Resources{MilliCores: 4000, MemoryMB: 4096},
+		})
+	}
+	for range 3 {
+		s.startDaemon()
+	}
+	go s.gossip()
+	return s
+}
+
+func (s *testSystem) startDaemon() {
+	s.started++
+	settings := guavaconfig.Settings{
+		Name: fmt.Sprintf("entry-%d", s.started), Zone: testZones[s.started%len(testZones)], Platform: "127.0.0.1:1",
+	}.Defaults()
+	l := &link{testSystem: s, rng: rand.New(rand.NewPCG(s.rng.Uint64(), 3))}
+	d := &Daemon{
+		Settings: settings, Log: zerolog.Nop(),
+		Platform: Platform{Table: linkTable{l}, Objects: &s.objects, Hosts: &s.fleet, Agent: linkAgent{l}},
+	}
+	d.addresses.Peer = settings.Name
+	d.assemble(listeners{})
+	ctx, cancel := context.WithCancel(s.ctx)
+	go d.lease.Run(ctx)
+	go d.watcher.Run(ctx, nil)
+	go d.control.run(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.daemons = append(s.daemons, &testDaemon{d, l, cancel})
+}
+
+// gossip passes summaries between the daemons once a second.
+func (s *testSystem) gossip() {
+	for s.ctx.Err() == nil {
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		daemons := slices.Clone(s.daemons)
+		s.mu.Unlock()
+		for _, a := range daemons {
+			for _, b := range daemons {
+				if self := b.members.Self(); a != b && self.Instance != "" {
+					a.members.Merge(time.Now(), []guavascale.Summary{self})
+				}
+			}
+		}
+	}
+}
+
+func (s *testSystem) any() *testDaemon { return s.daemons[s.rng.IntN(len(s.daemons))] }
+
+// stop ends a daemon without any release, as SIGKILL does.
+func (s *testSystem) stop(d *testDaemon) {
+	d.cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.daemons = slices.DeleteFunc(s.daemons, func(other *testDaemon) bool { return other == d })
+}
+
+func (l *link) set(cut, slow bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut, l.slow = cut, slow
+}
+
+// delay returns for how long the next call is under way, 0 for none.
+func (l *link) delay() (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.slow {
+		return time.Duration(l.rng.Int64N(int64(maxLate))) + time.Millisecond, l.cut
+	}
+	return 0, l.cut
+}
