guavademo: run a trial of separate processes and check the promises

Starts one guavaplatform and three guavascaled from settings files, declares a service and jobs, runs callers, switches a preset, takes a zone out and back, kills one daemon and stops another, and compares the ledger of the callers with the runs at the stand-in.

--- /dev/null
+++ b/cmd/guavademo/caller.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"guavascale.example"
+	"guavascale.example/guavafake"
+)
+
+// load is a number of callers that send requests to random ready daemons.
+type load struct {
+	cluster *cluster
+	service string
+	ledger  ledger
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+const (
+	callers = 24
+	// callerPause is the time between two requests of a caller.
+	callerPause    = 20 * time.Millisecond
+	requestTimeout = 10 * time.Second
+	// keyedAttempts and keyedPause bound the repeats with one key.
+	keyedAttempts = 4
+	keyedPause    = 300 * time.Millisecond
+	maxBody       = 2000
+	maxDelayMs    = 20
+	// One request in slowShare takes slowDelayMs, so that requests are in
+	// progress whenever a daemon stops.
+	slowShare   = 20
+	slowDelayMs = 400
+
+	headerOutcome = "Guavascale-Outcome"
+	headerKey     = "Idempotency-Key"
+)
+
+// startLoad starts callers of a service until stop.
+func startLoad(c *cluster, service string) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{cluster: c, service: service, cancel: cancel}
+	for i := range callers {
+		l.wg.Go(func() { l.call(ctx, i) })
+	}
+	return l
+}
+
+// stop ends the callers; requests in progress complete.
+func (l *load) stop() {
+	l.cancel()
+	l.wg.Wait()
+}
+
+func (l *load) call(ctx context.Context, caller int) {
+	kinds := []kind{kindGet, kindPost, kindKeyed}
+	for n := 0; pause(ctx, callerPause) == nil; n++ {
+		d := l.cluster.pick(nil)
+		if d == nil {
+			continue
+		}
+		r := request{Tag: fmt.Sprintf("caller-%d-%d", caller, n), Kind: kinds[rand.IntN(len(kinds))]}
+		l.run(ctx, &r, d)
+		l.ledger.add(r)
+	}
+}
+
+// run sends a request, and a keyed one again while it was certainly not run or
+// its answer was lost.
+func (l *load) run(ctx context.Context, r *request, d *daemon) {
+	body := []byte(r.Tag + ":" + strings.Repeat("x", rand.IntN(maxBody)))
+	for n := range keyedAttempts {
+		res := l.send(d, r, body)
+		r.Results = append(r.Results, res)
+		again := res == resultNotRun || res == resultLost || res == resultRefused
+		if r.Kind != kindKeyed || !again || n == keyedAttempts-1 || pause(ctx, keyedPause) != nil {
+			return
+		}
+		if next := l.cluster.pick(d); next != nil {
+			d = next
+		}
+	}
+}
+
+func (l *load) send(d *daemon, r *request, body []byte) result {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + d.gateway + "/" + l.service + "/" + r.Tag)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	if r.Kind == kindGet {
+		req.Header.SetMethod(fasthttp.MethodGet)
+	}
+	if r.Kind == kindKeyed {
+		req.Header.Set(headerKey, "key-"+r.Tag)
+	}
+	req.Header.Set(guavafake.HeaderTag, r.Tag)
+	req.Header.Set(guavafake.HeaderDelay, strconv.Itoa(delayMs()))
+	req.SetBody(body)
+	began := time.Now()
+	err := d.callers.DoTimeout(req, resp, requestTimeout)
+	if err != nil {
+		return l.failed(d, r, err)
+	}
+	res := classify(resp, body)
+	if res == resultAnswered {
+		l.ledger.answered(time.Since(began))
+	}
+	if res == resultWrong {
+		l.ledger.note(fmt.Sprintf("%s %s from %s: status %d, outcome %q, %d of %d bytes: %.80q", r.Kind, r.Tag, d.name,
+			resp.StatusCode(), resp.Header.Peek(headerOutcome), len(resp.Body()), len(body), resp.Body()))
+	}
+	return res
+}
+
+// failed classifies a request without an answer. A request whose connection
+// broke after SIGTERM was sent was cut by the graceful stop.
+func (l *load) failed(d *daemon, r *request, err error) result {
+	var refused dialError
+	if errors.As(err, &refused) {
+		return resultRefused
+	}
+	if d.stopping.Load() {
+		l.ledger.cutOff()
+		l.ledger.note(fmt.Sprintf("%s %s was cut by the stop of %s: %v", r.Kind, r.Tag, d.name, err))
+	}
+	return resultLost
+}
+
+func delayMs() int {
+	if rand.IntN(slowShare) == 0 {
+		return slowDelayMs
+	}
+	return rand.IntN(maxDelayMs)
+}
+
+// classify returns how a request with a body, which the endpoint echoes, was
+// answered.
+func classify(resp *fasthttp.Response, body []byte) result {
+	own := resp.StatusCode() == fasthttp.StatusOK && bytes.Equal(resp.Body(), body)
+	switch guavascale.Outcome(resp.Header.Peek(headerOutcome)) {
+	case "":
+		if own {
+			return resultAnswered
+		}
+	case guavascale.OutcomeNotRun:
+		return resultNotRun
+	case guavascale.OutcomeUnknown:
+		return resultUnknown
+	case guavascale.OutcomeAlreadyRun:
+		if own {
+			return resultReplayed
+		}
+		if resp.StatusCode() == fasthttp.StatusConflict {
+			return resultAlreadyRun
+		}
+	}
+	return resultWrong
+}
--- /dev/null
+++ b/cmd/guavademo/ledger.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+type (
+	// kind is the sort of a request.
+	kind string
+
+	// result is how one sending of a request ended for its caller.
+	result string
+
+	// request is one request of a caller. A keyed one may be sent more than
+	// once.
+	request struct {
+		Tag     string
+		Kind    kind
+		Results []result
+	}
+
+	// ledger records all requests. The zero value is empty.
+	ledger struct {
+		mu       sync.Mutex
+		requests []request
+		latency  *hdrhistogram.Histogram
+		cut      int
+		notes    []string
+	}
+
+	// requestCounts is what the ledger and the runs at the stand-in prove.
+	requestCounts struct {
+		Requests int
+		Sent     int
+		Results  map[result]int
+		// MaxRuns is the highest number of runs of a non-idempotent request.
+		MaxRuns int
+		// NotRunButRan counts the requests whose every answer was NotRun or
+		// AlreadyRun and that ran all the same.
+		NotRunButRan int
+		// AnsweredWithoutRun counts the answered requests without a run.
+		AnsweredWithoutRun int
+		Wrong              int
+	}
+)
+
+const (
+	kindGet   kind = "GET"
+	kindPost  kind = "POST"
+	kindKeyed kind = "POST with key"
+)
+
+const (
+	// resultAnswered is the request's own whole answer, resultReplayed the
+	// recorded one of the same request.
+	resultAnswered   result = "Answered"
+	resultReplayed   result = "Replayed"
+	resultNotRun     result = "NotRun"
+	resultUnknown    result = "OutcomeUnknown"
+	resultAlreadyRun result = "AlreadyRun"
+	// resultRefused is a connection that was not established, resultLost one
+	// that broke or timed out.
+	resultRefused result = "Refused"
+	resultLost    result = "Lost"
+	// resultWrong is any other answer.
+	resultWrong result = "Wrong"
+)
+
+const (
+	// Latencies are recorded in microseconds up to a minute.
+	maxLatencyMicros = 60_000_000
+	latencyDigits    = 3
+	maxNotes         = 20
+)
+
+// certain reports whether the result proves whether the sending ran.
+func (r result) certain() bool {
+	switch r {
+	case resultUnknown, resultLost, resultWrong:
+		return false
+	default:
+		return true
+	}
+}
+
+func (l *ledger) add(r request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requests = append(l.requests, r)
+}
+
+func (l *ledger) answered(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.latency == nil {
+		l.latency = hdrhistogram.New(1, maxLatencyMicros, latencyDigits)
+	}
+	// A latency beyond the range is cut to its end.
+	_ = l.latency.RecordValue(min(d.Microseconds(), maxLatencyMicros))
+}
+
+func (l *ledger) cutOff() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut++
+}
+
+// note keeps the first descriptions of unexpected answers.
+func (l *ledger) note(text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.notes) < maxNotes {
+		l.notes = append(l.notes, text)
+	}
+}
+
+// percentile returns a latency in milliseconds.
+func (l *ledger) percentile(p float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.latency == nil {
+		return 0
+	}
+	return float64(l.latency.ValueAtPercentile(p)) / 1000
+}
+
+// count compares the requests with their runs at the stand-in.
+func (l *ledger) count(runs map[string]int) requestCounts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := requestCounts{Requests: len(l.requests), Results: map[result]int{}}
+	for _, r := range l.requests {
+		c.add(r, runs[r.Tag])
+	}
+	return c
+}
+
+func (c *requestCounts) add(r request, runs int) {
+	answered, certain := false, true
+	for _, s := range r.Results {
+		c.Sent++
+		c.Results[s]++
+		certain = certain && s.certain()
+		answered = answered || s == resultAnswered || s == resultReplayed
+		if s == resultWrong {
+			c.Wrong++
+		}
+	}
+	if r.Kind != kindGet {
+		c.MaxRuns = max(c.MaxRuns, runs)
+	}
+	if certain && !answered && runs > 0 {
+		c.NotRunButRan++
+	}
+	if answered && runs == 0 {
+		c.AnsweredWithoutRun++
+	}
+}
