guavademo: check GETs by their content type, report reasons, stop with requests in progress

The requests in progress at SIGTERM took 0.4 s, less than the notice of 2 s, so nothing was in progress when the listener closed; requests of 6 s are added.

--- a/cmd/guavademo/caller.go
+++ b/cmd/guavademo/caller.go
@@ -40,6 +40,9 @@
 	// progress whenever a daemon stops.
 	slowShare   = 20
 	slowDelayMs = 400
+	// longDelayMs is longer than a daemon's notice to the load balancer before
+	// it stops accepting.
+	longDelayMs = 6000
 
 	headerOutcome = "Guavascale-Outcome"
 	headerKey     = "Idempotency-Key"
@@ -48,7 +51,7 @@
 // startLoad starts callers of a service until stop.
 func startLoad(c *cluster, service string) *load {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &load{cluster: c, service: service, cancel: cancel}
+	l := &load{cluster: c, service: service, cancel: cancel, ledger: ledger{began: time.Now()}}
 	for i := range callers {
 		l.wg.Go(func() { l.call(ctx, i) })
 	}
@@ -62,7 +65,7 @@
 }
 
 func (l *load) call(ctx context.Context, caller int) {
-	kinds := []kind{kindGet, kindPost, kindKeyed}
+	kinds := []kind{kindGet, kindPut, kindPost, kindKeyed}
 	for n := 0; pause(ctx, callerPause) == nil; n++ {
 		d := l.cluster.pick(nil)
 		if d == nil {
@@ -79,7 +82,7 @@
 func (l *load) run(ctx context.Context, r *request, d *daemon) {
 	body := []byte(r.Tag + ":" + strings.Repeat("x", rand.IntN(maxBody)))
 	for n := range keyedAttempts {
-		res := l.send(d, r, body)
+		res := l.send(d, r, body, delayMs())
 		r.Results = append(r.Results, res)
 		again := res == resultNotRun || res == resultLost || res == resultRefused
 		if r.Kind != kindKeyed || !again || n == keyedAttempts-1 || pause(ctx, keyedPause) != nil {
@@ -91,31 +94,42 @@
 	}
 }
 
-func (l *load) send(d *daemon, r *request, body []byte) result {
+// sendLong sends requests that take longDelayMs to one daemon and returns while
+// they are in progress.
+func (l *load) sendLong(d *daemon, n int) {
+	for i := range n {
+		l.wg.Go(func() {
+			r := request{Tag: fmt.Sprintf("long-%s-%d", d.name, i), Kind: kindPost}
+			r.Results = append(r.Results, l.send(d, &r, []byte(r.Tag), longDelayMs))
+			l.ledger.add(r)
+		})
+	}
+}
+
+func (l *load) send(d *daemon, r *request, body []byte, delay int) result {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + d.gateway + "/" + l.service + "/" + r.Tag)
-	req.Header.SetMethod(fasthttp.MethodPost)
+	r.Kind.prepare(req, r.Tag)
+	req.Header.Set(guavafake.HeaderDelay, strconv.Itoa(delay))
 	if r.Kind == kindGet {
-		req.Header.SetMethod(fasthttp.MethodGet)
+		// The gateway rejects a GET with a body; the tag tells its answer.
+		body = nil
 	}
-	if r.Kind == kindKeyed {
-		req.Header.Set(headerKey, "key-"+r.Tag)
-	}
-	req.Header.Set(guavafake.HeaderTag, r.Tag)
-	req.Header.Set(guavafake.HeaderDelay, strconv.Itoa(delayMs()))
 	req.SetBody(body)
 	began := time.Now()
 	err := d.callers.DoTimeout(req, resp, requestTimeout)
 	if err != nil {
 		return l.failed(d, r, err)
 	}
-	res := classify(resp, body)
-	if res == resultAnswered {
+	res := classify(resp, r.Tag, body)
+	switch res {
+	case resultAnswered:
 		l.ledger.answered(time.Since(began))
-	}
-	if res == resultWrong {
+	case resultNotRun, resultUnknown:
+		l.ledger.reason(res, resp.Body(), time.Now())
+	case resultWrong:
 		l.ledger.note(fmt.Sprintf("%s %s from %s: status %d, outcome %q, %d of %d bytes: %.80q", r.Kind, r.Tag, d.name,
 			resp.StatusCode(), resp.Header.Peek(headerOutcome), len(resp.Body()), len(body), resp.Body()))
 	}
@@ -143,10 +157,24 @@
 	return rand.IntN(maxDelayMs)
 }
 
-// classify returns how a request with a body, which the endpoint echoes, was
-// answered.
-func classify(resp *fasthttp.Response, body []byte) result {
-	own := resp.StatusCode() == fasthttp.StatusOK && bytes.Equal(resp.Body(), body)
+// prepare sets the method and the headers of a request. The endpoint echoes
+// the content type, which holds the tag.
+func (k kind) prepare(req *fasthttp.Request, tag string) {
+	method, _, _ := strings.Cut(string(k), " ")
+	req.Header.SetMethod(method)
+	req.Header.SetContentType(contentType(tag))
+	req.Header.Set(guavafake.HeaderTag, tag)
+	if k == kindKeyed {
+		req.Header.Set(headerKey, "key-"+tag)
+	}
+}
+
+func contentType(tag string) string { return "text/" + tag }
+
+// classify returns how a request with a tag and a body was answered.
+func classify(resp *fasthttp.Response, tag string, body []byte) result {
+	own := resp.StatusCode() == fasthttp.StatusOK && bytes.Equal(resp.Body(), body) &&
+		string(resp.Header.ContentType()) == contentType(tag)
 	switch guavascale.Outcome(resp.Header.Peek(headerOutcome)) {
 	case "":
 		if own {
--- a/cmd/guavademo/ledger.go
+++ b/cmd/guavademo/ledger.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"encoding/json"
+	"regexp"
 	"sync"
 	"time"
 
@@ -28,9 +30,19 @@
 		requests []request
 		latency  *hdrhistogram.Histogram
 		cut      int
+		began   time.Time
+		reasons map[string]reasonCount
 		notes    []string
 	}
 
+	// reasonCount is how often daemons gave a reason, and the first and the
+	// last time, in seconds of the load.
+	reasonCount struct {
+		Count        int
+		FirstSeconds float64
+		LastSeconds  float64
+	}
+
 	// requestCounts is what the ledger and the runs at the stand-in prove.
 	requestCounts struct {
 		Requests int
@@ -49,6 +61,7 @@
 
 const (
 	kindGet   kind = "GET"
+	kindPut   kind = "PUT"
 	kindPost  kind = "POST"
 	kindKeyed kind = "POST with key"
 )
@@ -76,6 +89,8 @@
 	maxNotes         = 20
 )
 
+var digits = regexp.MustCompile(`[0-9]+`)
+
 // certain reports whether the result proves whether the sending ran.
 func (r result) certain() bool {
 	switch r {
@@ -102,6 +117,29 @@
 	_ = l.latency.RecordValue(min(d.Microseconds(), maxLatencyMicros))
 }
 
+// reason counts the reason of a daemon's own answer. Reasons that differ in
+// names and numbers only are counted together.
+func (l *ledger) reason(res result, body []byte, now time.Time) {
+	var answer struct{ Reason string }
+	if json.Unmarshal(body, &answer) != nil {
+		answer.Reason = "(none)"
+	}
+	key := string(res) + ": " + digits.ReplaceAllString(answer.Reason, "N")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reasons == nil {
+		l.reasons = map[string]reasonCount{}
+	}
+	at := now.Sub(l.began).Seconds()
+	c, ok := l.reasons[key]
+	if !ok {
+		c.FirstSeconds = at
+	}
+	c.Count++
+	c.LastSeconds = at
+	l.reasons[key] = c
+}
+
 func (l *ledger) cutOff() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -149,7 +187,7 @@
 			c.Wrong++
 		}
 	}
-	if r.Kind != kindGet {
+	if r.Kind == kindPost || r.Kind == kindKeyed {
 		c.MaxRuns = max(c.MaxRuns, runs)
 	}
 	if certain && !answered && runs > 0 {
--- a/cmd/guavademo/report.go
+++ b/cmd/guavademo/report.go
@@ -18,6 +18,8 @@
 type report struct {
 	Seconds float64
 	requestCounts
+	// Reasons counts the reasons of daemons that did not forward a request.
+	Reasons      map[string]reasonCount
 	LatencyP50Ms float64
 	LatencyP99Ms float64
 	// CutByGracefulStop counts requests in progress at a daemon that got
@@ -49,6 +51,7 @@
 	r.requestCounts = l.ledger.count(state.Runs)
 	r.LatencyP50Ms, r.LatencyP99Ms = l.ledger.percentile(50), l.ledger.percentile(99)
 	r.CutByGracefulStop = l.ledger.cut
+	r.Reasons = l.ledger.reasons
 	r.Notes = append(r.Notes, l.ledger.notes...)
 	r.Violations = state.Verdict.Violations
 	r.Evictions = resumed(state.Verdict)
@@ -113,6 +116,10 @@
 	for _, s := range slices.Sorted(maps.Keys(r.Results)) {
 		line("  "+string(s), "%d", r.Results[s])
 	}
+	for _, s := range slices.Sorted(maps.Keys(r.Reasons)) {
+		c := r.Reasons[s]
+		line("  reason", "%d times from %.1f s to %.1f s of the load: %s", c.Count, c.FirstSeconds, c.LastSeconds, s)
+	}
 	line("latency p50 / p99 (information)", "%.1f ms / %.1f ms", r.LatencyP50Ms, r.LatencyP99Ms)
 	line("most runs of a non-idempotent request", "%d", r.MaxRuns)
 	line("requests answered NotRun that ran", "%d", r.NotRunButRan)
--- a/cmd/guavademo/scenario.go
+++ b/cmd/guavademo/scenario.go
@@ -32,6 +32,8 @@
 	// zoneOutTime is how long the zone is out; no request may reach it after
 	// the first 3 s.
 	zoneOutTime = 8 * time.Second
+	// longRequests are in progress at the daemon that gets SIGTERM.
+	longRequests = 8
 	// gracefulLimit is longer than the longest shutdown.
 	gracefulLimit = 40 * time.Second
 )
@@ -143,6 +145,11 @@
 }
 
 func (d *demo) stopDaemon(ctx context.Context) error {
+	// They are in progress when the daemon stops to accept connections.
+	d.load.sendLong(d.cluster.list()[2], longRequests)
+	if err := pause(ctx, settleTime/4); err != nil {
+		return err
+	}
 	if err := d.cluster.stopGracefully(2); err != nil {
 		return err
 	}
