--- a/cmd/guavademo/caller.go
+++ b/cmd/guavademo/caller.go
@@ -27,7 +27,7 @@
 }
 
 const (
-	callers = 24
+	demoCallers = 24
 	// callerPause is the time between two requests of a caller.
 	callerPause    = 20 * time.Millisecond
 	requestTimeout = 10 * time.Second
@@ -49,7 +49,7 @@
 )
 
 // startLoad starts callers of a service until stop.
-func startLoad(c *cluster, service string) *load {
+func startLoad(c *cluster, service string, callers int) *load {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &load{cluster: c, service: service, cancel: cancel, ledger: ledger{began: time.Now()}}
 	for i := range callers {
@@ -65,7 +65,6 @@
 }
 
 func (l *load) call(ctx context.Context, caller int) {
-	kinds := []kind{kindGet, kindPut, kindPost, kindKeyed}
 	for n := 0; pause(ctx, callerPause) == nil; n++ {
 		d := l.cluster.pick(nil)
 		if d == nil {
--- a/cmd/guavademo/ledger.go
+++ b/cmd/guavademo/ledger.go
@@ -89,7 +89,10 @@
 	maxNotes         = 20
 )
 
-var digits = regexp.MustCompile(`[0-9]+`)
+var (
+	kinds  = []kind{kindGet, kindPut, kindPost, kindKeyed}
+	digits = regexp.MustCompile(`[0-9]+`)
+)
 
 // certain reports whether the result proves whether the sending ran.
 func (r result) certain() bool {
--- a/cmd/guavademo/operate.go
+++ b/cmd/guavademo/operate.go
@@ -14,6 +14,7 @@
 type (
 	// accepted is a configuration change that the system accepted.
 	accepted struct {
+		ID      string
 		Change  string
 		Version uint64
 		At      time.Time
@@ -44,7 +45,7 @@
 	for {
 		r, err := o.submit(ctx, c)
 		if err == nil {
-			a := accepted{Change: string(c.Kind), Version: r.Version, At: time.Now(), Live: o.cluster.ready()}
+			a := accepted{ID: c.ID, Change: string(c.Kind), Version: r.Version, At: time.Now(), Live: o.cluster.ready()}
 			o.changes = append(o.changes, a)
 			return a, nil
 		}
--- a/cmd/guavademo/scenario.go
+++ b/cmd/guavademo/scenario.go
@@ -94,7 +94,7 @@
 }
 
 func (d *demo) switchPreset(ctx context.Context) error {
-	d.load = startLoad(d.cluster, demoService)
+	d.load = startLoad(d.cluster, demoService, demoCallers)
 	preset := guavascale.Preset{Name: busyPreset, LatencyWeight: 90, BatchWeight: 10, DrainPerSecond: 10}
 	if _, err := d.operator.change(ctx, guavaconfig.Change{Kind: guavaconfig.PutPreset, Preset: &preset}); err != nil {
 		return err
