guavademo: repeat earlier keys, test leases that expire and an owner killed during an outage

Callers repeat keys of earlier requests, so that claims are read after a takeover. The worker that is cut off now exceeds the leases of its tasks; before, they had 720 s and nothing expired.

The scenario 'owner killed while the store is down' fails: the state dumps of the remaining daemons list no endpoint (Routes.Endpoints null), and unkeyed requests get 'service licence has no endpoint' until the store is back.

--- a/cmd/guavademo/caller.go
+++ b/cmd/guavademo/caller.go
@@ -34,8 +34,10 @@
 	// keyedAttempts and keyedPause bound the repeats with one key.
 	keyedAttempts = 4
 	keyedPause    = 300 * time.Millisecond
-	maxBody       = 2000
-	maxDelayMs    = 20
+	// One request in repeatShare repeats an earlier key of the caller.
+	repeatShare = 8
+	maxBody     = 2000
+	maxDelayMs  = 20
 	// One request in slowShare takes slowDelayMs, so that requests are in
 	// progress whenever a daemon stops.
 	slowShare   = 20
@@ -65,23 +67,38 @@
 }
 
 func (l *load) call(ctx context.Context, caller int) {
+	var keyed []request
 	for n := 0; pause(ctx, callerPause) == nil; n++ {
 		d := l.cluster.pick(nil)
 		if d == nil {
 			continue
 		}
-		r := request{Tag: fmt.Sprintf("caller-%d-%d", caller, n), Kind: kinds[rand.IntN(len(kinds))]}
+		r := newRequest(fmt.Sprintf("caller-%d-%d", caller, n))
+		if len(keyed) > 0 && rand.IntN(repeatShare) == 0 {
+			r = keyed[rand.IntN(len(keyed))]
+			r.Kind, r.Results = kindRepeat, nil
+		}
 		l.run(ctx, &r, d)
 		l.ledger.add(r)
+		if r.Kind == kindKeyed && r.mayHaveRun() {
+			keyed = append(keyed, r)
+		}
+	}
+}
+
+func newRequest(tag string) request {
+	return request{
+		Tag:  tag,
+		Kind: kinds[rand.IntN(len(kinds))],
+		Body: []byte(tag + ":" + strings.Repeat("x", rand.IntN(maxBody))),
 	}
 }
 
 // run sends a request, and a keyed one again while it was certainly not run or
 // its answer was lost.
 func (l *load) run(ctx context.Context, r *request, d *daemon) {
-	body := []byte(r.Tag + ":" + strings.Repeat("x", rand.IntN(maxBody)))
 	for n := range keyedAttempts {
-		res := l.send(d, r, body, delayMs())
+		res := l.send(d, r, delayMs())
 		r.Results = append(r.Results, res)
 		again := res == resultNotRun || res == resultLost || res == resultRefused
 		if r.Kind != kindKeyed || !again || n == keyedAttempts-1 || pause(ctx, keyedPause) != nil {
@@ -98,20 +115,21 @@
 func (l *load) sendLong(d *daemon, n int) {
 	for i := range n {
 		l.wg.Go(func() {
-			r := request{Tag: fmt.Sprintf("long-%s-%d", d.name, i), Kind: kindPost}
-			r.Results = append(r.Results, l.send(d, &r, []byte(r.Tag), longDelayMs))
+			r := request{Tag: fmt.Sprintf("long-%s-%d", d.name, i), Kind: kindPost, Body: []byte("long")}
+			r.Results = append(r.Results, l.send(d, &r, longDelayMs))
 			l.ledger.add(r)
 		})
 	}
 }
 
-func (l *load) send(d *daemon, r *request, body []byte, delay int) result {
+func (l *load) send(d *daemon, r *request, delay int) result {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + d.gateway + "/" + l.service + "/" + r.Tag)
 	r.Kind.prepare(req, r.Tag)
 	req.Header.Set(guavafake.HeaderDelay, strconv.Itoa(delay))
+	body := r.Body
 	if r.Kind == kindGet {
 		// The gateway rejects a GET with a body; the tag tells its answer.
 		body = nil
@@ -163,7 +181,7 @@
 	req.Header.SetMethod(method)
 	req.Header.SetContentType(contentType(tag))
 	req.Header.Set(guavafake.HeaderTag, tag)
-	if k == kindKeyed {
+	if k == kindKeyed || k == kindRepeat {
 		req.Header.Set(headerKey, "key-"+tag)
 	}
 }
--- a/cmd/guavademo/failure_test.go
+++ b/cmd/guavademo/failure_test.go
@@ -22,8 +22,17 @@
 // beyond the promises that hold in every scenario.
 type failure struct {
 	inject func(t *testing.T, w *trial)
-	// wholeTasks is set when no task may be interrupted.
+	// wholeTasks is set when no task may be interrupted, expires when leases
+	// must have expired, without which the scenario proves nothing.
 	wholeTasks bool
+	expires    bool
+	// zones is the number of availability zones, each of which is a shard; 0
+	// stands for 3.
+	zones int
+	// lease is the lease of tasks, in seconds; 0 stands for the default.
+	lease float64
+	// runSeconds is the run time of the batch tasks; 0 stands for 8.
+	runSeconds float64
 }
 
 var failures = map[string]failure{
@@ -49,10 +58,23 @@
 		down := guavafake.StoreFaults{Down: true}
 		require.NoError(t, w.cluster.control.SetTableFaults(down))
 		require.NoError(t, w.cluster.control.SetObjectsFaults(down))
-		w.pause(t, 20*time.Second)
+		w.pause(t, 10*time.Second)
+		w.answered(t)
+		w.pause(t, 10*time.Second)
 		require.NoError(t, w.cluster.control.SetTableFaults(guavafake.StoreFaults{}))
 		require.NoError(t, w.cluster.control.SetObjectsFaults(guavafake.StoreFaults{}))
 	}},
+	// Guards against endpoints that get no requests because the owner of their
+	// shard is gone and no other daemon can take the shard over.
+	"owner killed while the store is down": {zones: 1, inject: func(t *testing.T, w *trial) {
+		i := w.owner(t)
+		require.NoError(t, w.cluster.control.SetTableFaults(guavafake.StoreFaults{Down: true}))
+		require.NoError(t, w.cluster.list()[i].signal(syscall.SIGKILL))
+		w.pause(t, 10*time.Second)
+		w.answered(t)
+		require.NoError(t, w.cluster.control.SetTableFaults(guavafake.StoreFaults{}))
+		require.NoError(t, w.cluster.startDaemon(i))
+	}},
 	// Guards against commits that are repeated, or taken for lost, without
 	// reading them back.
 	"answers of the store lost": {inject: func(t *testing.T, w *trial) {
@@ -68,9 +90,7 @@
 	// Guards against tasks that run elsewhere while a worker that cannot be
 	// reached still runs them. One worker is back before the leases of its
 	// tasks expire, the other one after.
-	"workers cut off and back": {inject: func(t *testing.T, w *trial) {
-		w.usePreset(t, "short-leases", 10)
-		w.pause(t, 4*time.Second)
+	"workers cut off and back": {lease: 10, runSeconds: 14, expires: true, inject: func(t *testing.T, w *trial) {
 		first, second := w.busyWorkers(t)
 		cut := guavafake.WorkerFaults{CutOff: true}
 		require.NoError(t, w.cluster.control.SetWorkerFaults(first, cut))
@@ -135,7 +155,7 @@
 			t.Parallel()
 			clusters <- struct{}{}
 			defer func() { <-clusters }()
-			w := startTrial(t)
+			w := startTrial(t, f)
 			f.inject(t, w)
 			w.recovered(t)
 			w.load.stop()
@@ -165,6 +185,10 @@
 	if f.wholeTasks {
 		require.Zero(t, r.Evictions, "attempts after the first")
 	}
+	if f.expires {
+		require.Positive(t, r.ends[guavascale.AttemptExpired], "expired leases")
+		require.Positive(t, r.Evictions, "batch attempts after the first")
+	}
 	w.verifyConfig(t)
 	w.verifyLogs(t)
 }
--- a/cmd/guavademo/ledger.go
+++ b/cmd/guavademo/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"regexp"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	request struct {
 		Tag     string
 		Kind    kind
+		Body    []byte
 		Results []result
 	}
 
@@ -30,8 +32,8 @@
 		requests []request
 		latency  *hdrhistogram.Histogram
 		cut      int
-		began   time.Time
-		reasons map[string]reasonCount
+		began    time.Time
+		reasons  map[string]reasonCount
 		notes    []string
 	}
 
@@ -64,6 +66,9 @@
 	kindPut   kind = "PUT"
 	kindPost  kind = "POST"
 	kindKeyed kind = "POST with key"
+	// kindRepeat repeats an earlier keyed request, which may have run, with its
+	// tag, body and key.
+	kindRepeat kind = "POST with an earlier key"
 )
 
 const (
@@ -104,6 +109,13 @@
 	}
 }
 
+// mayHaveRun reports whether a result leaves it possible that the request ran.
+func (r request) mayHaveRun() bool {
+	return slices.ContainsFunc(r.Results, func(s result) bool {
+		return s == resultAnswered || s == resultReplayed || !s.certain()
+	})
+}
+
 func (l *ledger) add(r request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -190,9 +202,13 @@
 			c.Wrong++
 		}
 	}
-	if r.Kind == kindPost || r.Kind == kindKeyed {
+	if r.Kind != kindGet && r.Kind != kindPut {
 		c.MaxRuns = max(c.MaxRuns, runs)
 	}
+	if r.Kind == kindRepeat {
+		// The runs may be those of the earlier request.
+		return
+	}
 	if certain && !answered && runs > 0 {
 		c.NotRunButRan++
 	}
--- a/cmd/guavademo/report.go
+++ b/cmd/guavademo/report.go
@@ -40,6 +40,8 @@
 	Reverts   int
 	Notes     []string
 	Broken    []string
+	// ends counts the ended attempts by their last state.
+	ends map[guavascale.AttemptState]int
 }
 
 // collect fills in what the stand-in, the ledger and the daemons tell.
@@ -54,6 +56,7 @@
 	r.Reasons = l.ledger.reasons
 	r.Notes = append(r.Notes, l.ledger.notes...)
 	r.Violations = state.Verdict.Violations
+	r.ends = state.Verdict.Ends
 	r.Evictions = resumed(state.Verdict)
 	for _, d := range c.all() {
 		r.Reverts += d.revertCount()
--- a/cmd/guavademo/trial_test.go
+++ b/cmd/guavademo/trial_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -34,8 +36,12 @@
 	testTimeout = 58 * time.Second
 )
 
-// programs is the folder of the programs, built with the race detector.
-var programs string
+var (
+	// programs is the folder of the programs, built with the race detector.
+	programs string
+
+	zones = []guavascale.Zone{"Rennes", "Brest", "Vannes"}
+)
 
 func TestMain(m *testing.M) {
 	os.Exit(runTests(m))
@@ -61,13 +67,13 @@
 
 // startTrial starts a cluster and returns once requests are answered and batch
 // tasks run. The logs of a failed test are kept.
-func startTrial(t *testing.T) *trial {
+func startTrial(t *testing.T, f failure) *trial {
 	dir, err := os.MkdirTemp("", "guavademo-trial-")
 	require.NoError(t, err)
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	c, err := startCluster(clusterSpec{
 		Programs: programs, Dir: dir, Daemons: testDaemons, Workers: 6,
-		Zones: []guavascale.Zone{"Rennes", "Brest", "Vannes"},
+		Zones: zones[:cmp.Or(f.zones, len(zones))],
 		Intervals: guavaconfig.Intervals{
 			SessionRenewSeconds: 0.7, SessionTTLSeconds: 4, SessionMarginSeconds: 0.5,
 			ConfigPollSeconds: 0.5, GossipSeconds: 0.5,
@@ -76,23 +82,45 @@
 	require.NoError(t, err)
 	w := &trial{ctx: ctx, cluster: c, operator: operator{cluster: c}}
 	t.Cleanup(func() {
+		if t.Failed() {
+			w.dump(t)
+		}
 		cancel()
 		if w.load != nil {
 			w.load.stop()
 		}
 		c.stop()
-		if t.Failed() {
-			t.Logf("settings and logs are in %s", dir)
-			return
+		if !t.Failed() {
+			os.RemoveAll(dir)
 		}
-		os.RemoveAll(dir)
 	})
 	require.NoError(t, c.waitReady(ctx, testDaemons))
-	w.prepare(t)
+	if f.lease > 0 {
+		w.usePreset(t, "short-leases", f.lease)
+	}
+	w.prepare(t, f)
 	return w
 }
 
-func (w *trial) prepare(t *testing.T) {
+// dump writes the state of all daemons beside the logs of a failed test.
+func (w *trial) dump(t *testing.T) {
+	dir := w.cluster.spec.Dir
+	t.Logf("settings, logs and state dumps are in %s", dir)
+	if w.load != nil {
+		t.Logf("reasons: %v", w.load.ledger.reasons)
+	}
+	for _, d := range w.cluster.ready() {
+		data, err := d.operator.State(context.Background())
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, d.name+".state.json"), data, 0o600)
+		}
+		if err != nil {
+			t.Logf("no state dump of %s: %v", d.name, err)
+		}
+	}
+}
+
+func (w *trial) prepare(t *testing.T, f failure) {
 	size := guavascale.Resources{MilliCores: 1000, MemoryMB: 512}
 	_, err := w.operator.change(w.ctx, guavaconfig.Change{Kind: guavaconfig.PutService, Service: &guavascale.Service{
 		Name: demoService, Kind: "checkout", Team: "desk", Instances: 6, Size: size, TargetMs: 100,
@@ -100,7 +128,7 @@
 	require.NoError(t, err)
 	w.load = startLoad(w.cluster, demoService, testCallers)
 	w.answered(t)
-	w.declare(t, guavascale.Job{ID: "audit-pack", Team: "audit", Kind: "audit-pack", Tasks: 24, RunSeconds: 8})
+	w.declare(t, guavascale.Job{ID: "audit-pack", Team: "audit", Kind: "audit-pack", Tasks: 24, RunSeconds: cmp.Or(f.runSeconds, 8)})
 	w.until(t, "batch tasks run", func() bool { return w.runningTasks(t) >= 12 })
 }
 
@@ -226,4 +254,3 @@
 	slices.SortFunc(ids, func(a, b guavascale.WorkerID) int { return counts[b] - counts[a] })
 	return ids[0], ids[1]
 }
-
