--- a/guavadaemon/daemon.go
+++ b/guavadaemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"guavascale.example"
 	"guavascale.example/guavaclaim"
@@ -61,16 +62,21 @@
 		gateway  guavagateway.Gateway
 		operator guavaoperator.Server
 		mail     *mailbox
-		control  *control
+		// writes bounds the commits of all logs of this daemon.
+		writes  *rate.Limiter
+		control *control
 		// storePool, workerPool and peerPool bound the calls under way.
 		storePool  pond.Pool
 		workerPool pond.Pool
 		peerPool   pond.Pool
-		started    time.Time
-		stopping   atomic.Bool
-		addresses  Addresses
-		ready      chan struct{}
-		newConfig  chan struct{}
+		// releasePool gives lost claims back; it is full only in an outage, in
+		// which a release has no chance either.
+		releasePool pond.Pool
+		started     time.Time
+		stopping    atomic.Bool
+		addresses   Addresses
+		ready       chan struct{}
+		newConfig   chan struct{}
 	}
 
 	// Addresses are the addresses that a running daemon listens on.
@@ -85,9 +91,15 @@
 )
 
 const (
-	storeCalls  = 32
-	workerCalls = 64
-	peerCalls   = 16
+	storeCalls = 32
+	// storeWrites is the part of the store's several hundred writes a second
+	// that the logs of all live daemons share.
+	storeWrites  = 300
+	writeBurst   = 20
+	workerCalls  = 64
+	peerCalls    = 16
+	releaseCalls = 32
+	releaseQueue = 1000
 	// balancerNotice is how long readiness is false before the gateway stops
 	// accepting, so that the load balancer stops sending callers.
 	balancerNotice = 2 * time.Second
@@ -170,11 +182,13 @@
 	d.storePool = pond.NewPool(storeCalls)
 	d.workerPool = pond.NewPool(workerCalls)
 	d.peerPool = pond.NewPool(peerCalls)
+	d.releasePool = pond.NewPool(releaseCalls, pond.WithQueueSize(releaseQueue), pond.WithNonBlocking(true))
 	iv := &d.Settings.Intervals
 	d.watcher = &guavaconfig.Watcher{
 		Table: d.Platform.Table, Clock: d.clock, Notify: d.newConfig,
 		Poll: guavaconfig.Seconds(iv.ConfigPollSeconds), Authority: guavaconfig.Seconds(iv.StartAuthoritySeconds),
 	}
+	d.writes = rate.NewLimiter(storeWrites, writeBurst)
 	d.lease = guavalease.NewDriver(guavalease.Options{
 		Config: guavalease.Config{
 			Daemon: d.Settings.Name, Address: d.addresses.Peer,
--- a/guavagateway/gateway_test.go
+++ b/guavagateway/gateway_test.go
@@ -124,6 +124,19 @@
 	}
 }
 
+// TestIsolated guards against callers at a daemon whose view may be out of date.
+func TestIsolated(t *testing.T) {
+	a := newEndpoint(t, 1, nil, echo)
+	f := newGateway(t, &Gateway{}, nil, a)
+	require.True(t, f.Ready())
+	s := *f.snapshot.Load()
+	s.Isolated = true
+	f.Set(&s)
+	require.False(t, f.Ready())
+	status, _, _ := f.do(t, "POST", "/svc/x", "still served")
+	require.Equal(t, 200, status)
+}
+
 // TestPriorities guards against urgent requests that are refused while lower
 // ones are served, and against a refused request that ran.
 func TestPriorities(t *testing.T) {
@@ -279,10 +292,15 @@
 	status, _, _ := f.do(t, "PUT", "/svc/a%2Fb//c?q=%20", "x", "X-Own: 1", "Te: trailers", "Request-Id: mine")
 	require.Equal(t, 200, status)
 	r := <-seen
+	require.Equal(t, "HTTP/1.1", r.Proto)
 	require.Equal(t, "/svc/a%2Fb//c?q=%20", r.RequestURI)
 	require.Equal(t, "1", r.Header.Get("X-Own"))
 	require.Empty(t, r.Header.Get("Te"))
 	require.NotEqual(t, "mine", r.Header.Get(headerRequestID))
+	status, _, body := f.do(t, "HEAD", "/svc/x", "")
+	require.Equal(t, 200, status)
+	require.Empty(t, body)
+	<-seen
 	http.DefaultClient.CloseIdleConnections()
 
 	addr := strings.TrimPrefix(f.url, "http://")
--- a/guavashard/shard.go
+++ b/guavashard/shard.go
@@ -48,8 +48,12 @@
 		Instances map[string]int
 		// Interference estimates the loss from putting a task of a kind on a
 		// worker with tasks of other kinds; nil means none.
-		Interference func(t *guavascale.Task, beside []*guavascale.Task) float64
-		Rand         *rand.Rand
+		// ReportInterval is the time between messages to a worker that needs
+		// no orders; 0 stands for 1 s. A daemon that owns many workers raises
+		// it to stay within its share of the network.
+		ReportInterval time.Duration
+		Interference   func(t *guavascale.Task, beside []*guavascale.Task) float64
+		Rand           *rand.Rand
 	}
 
 	// Append is a request to add records to the shard's log.
@@ -133,8 +137,13 @@
 	// entry is a task with its volatile state.
 	entry struct {
 		task guavascale.Task
+		// attempt is the ID of the current attempt. It is kept here because
+		// every step needs it and forming it took a third of a step.
+		attempt guavascale.AttemptID
 		// seq numbers the entries of a shard in the order of arrival.
 		seq uint64
+		// applied is when the current state was applied.
+		applied time.Time
 		// next is the proposed state, nil when there is none.
 		next *guavascale.Task
 		// sent is set once this owner sent a start order for the attempt, or
