--- a/cmd/guavademo/failure_test.go
+++ b/cmd/guavademo/failure_test.go
@@ -52,6 +52,24 @@
 		w.pause(t, 9*time.Second)
 		require.NoError(t, d.signal(syscall.SIGCONT))
 	}},
+	// Guards against a daemon that starts tasks in a zone, or sends requests
+	// there, because it did not see that the zone was taken out.
+	"zone taken out while a daemon is frozen": {inject: func(t *testing.T, w *trial) {
+		w.declare(t, guavascale.Job{ID: "short-packs", Team: "audit", Kind: "audit-pack", Tasks: 120, RunSeconds: 1})
+		owner := w.owner(t)
+		zone := w.ownedZone(t, owner)
+		d := w.cluster.list()[owner]
+		require.NoError(t, d.signal(syscall.SIGSTOP))
+		z, err := closeZone(w.ctx, &w.operator, zone, 8*time.Second, func() {
+			w.pause(t, 2*time.Second)
+			require.NoError(t, d.signal(syscall.SIGCONT))
+		})
+		require.NoError(t, err)
+		state, err := w.cluster.control.State()
+		require.NoError(t, err)
+		require.Empty(t, z.starts(state.Verdict), "starts in the closed zone")
+		require.Zero(t, z.after-z.before, "requests to the closed zone")
+	}},
 	// Guards against tasks that are interrupted or started again because of an
 	// outage of the store that is shorter than their leases.
 	"store down for 20 s": {wholeTasks: true, inject: func(t *testing.T, w *trial) {
--- a/cmd/guavademo/scenario.go
+++ b/cmd/guavademo/scenario.go
@@ -114,7 +114,7 @@
 	if err := pause(ctx, settleTime); err != nil {
 		return err
 	}
-	z, err := closeZone(ctx, &d.operator, "Brest", zoneOutTime)
+	z, err := closeZone(ctx, &d.operator, "Brest", zoneOutTime, func() {})
 	if err != nil {
 		return err
 	}
--- a/cmd/guavademo/trial_test.go
+++ b/cmd/guavademo/trial_test.go
@@ -216,6 +216,16 @@
 	return found
 }
 
+// ownedZone returns the zone of a shard that daemon i owns.
+func (w *trial) ownedZone(t *testing.T, i int) guavascale.Zone {
+	var st guavadaemon.State
+	data, err := w.cluster.list()[i].operator.State(w.ctx)
+	require.NoError(t, err)
+	require.NoError(t, json.Unmarshal(data, &st))
+	require.NotEmpty(t, st.Shards)
+	return st.Shards[0].Summary.Zone
+}
+
 func owns(held []guavascale.Partition, prefix string) bool {
 	return slices.ContainsFunc(held, func(p guavascale.Partition) bool { return strings.HasPrefix(string(p), prefix) })
 }
--- a/cmd/guavademo/zone.go
+++ b/cmd/guavademo/zone.go
@@ -29,8 +29,9 @@
 // taken out, and after which its endpoints get no request.
 const zoneGrace = 3 * time.Second
 
-// closeZone takes a zone out, keeps it out for a time and brings it back.
-func closeZone(ctx context.Context, o *operator, zone guavascale.Zone, out time.Duration) (closedZone, error) {
+// closeZone takes a zone out, keeps it out for a time and brings it back. It
+// calls during once the zone must be quiet.
+func closeZone(ctx context.Context, o *operator, zone guavascale.Zone, out time.Duration, during func()) (closedZone, error) {
 	z := closedZone{cluster: o.cluster, zone: zone}
 	a, err := o.change(ctx, guavaconfig.Change{Kind: guavaconfig.TakeZoneOut, Name: string(zone)})
 	if err != nil {
@@ -43,7 +44,8 @@
 	if z.before, err = z.requests(); err != nil {
 		return z, err
 	}
-	if err := pause(ctx, out-zoneGrace); err != nil {
+	during()
+	if err := pause(ctx, time.Until(a.At.Add(out))); err != nil {
 		return z, err
 	}
 	if z.after, err = z.requests(); err != nil {
