guavagateway, guavadaemon: send no request by a view that is out of date

Ruled out: checking the age of the configuration alone. In an outage of the store it grows without end while requests have to go on.

--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -36,6 +36,10 @@
 	// owner; endpoints are those that requests may be sent to.
 	known     map[guavascale.Partition]sighting
 	endpoints []guavascale.Endpoint
+	// ticked is the time of the latest tick. resumed is the end of a pause
+	// after which the configuration has not been confirmed yet.
+	ticked  time.Time
+	resumed time.Time
 	// ownerEpoch returns the epoch of a partition in the table.
 	ownerEpoch  func(guavascale.Partition) uint64
 	sequence    uint64
@@ -92,6 +96,7 @@
 
 func (c *control) tick(ctx context.Context) {
 	now := c.d.clock.Now()
+	c.noticePause(now)
 	c.refreshHosts(ctx, now)
 	cfg, ok := c.d.watcher.Config()
 	if !ok {
--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -16,6 +16,14 @@
 // get no requests after 3 s.
 const maxConfigAge = 3 * time.Second
 
+const (
+	// viewTime is how long the gateway acts on a snapshot: the promised time
+	// after which endpoints that leave get no requests.
+	viewTime = 3 * time.Second
+	// pauseLimit and a poll of the configuration, 1 s, are less than viewTime.
+	pauseLimit = 1500 * time.Millisecond
+)
+
 // publish gives the gateway a new snapshot and the peers a new summary.
 func (c *control) publish(now time.Time, cfg *guavascale.Config, preset guavascale.Preset) {
 	c.sequence++
@@ -34,6 +42,7 @@
 	s := &guavagateway.Snapshot{
 		Daemon: c.d.Settings.Name, Zone: c.d.Settings.Zone, Services: cfg.Services,
 		ZonesOut: cfg.ZonesOut, Preset: preset, Isolated: c.isolated(now),
+		ValidUntil: c.viewUntil(now),
 	}
 	for _, m := range c.d.members.Live(now) {
 		// A leaving daemon still completes requests and keeps its slots.
@@ -64,6 +73,32 @@
 	return c.d.members.Known() > 0 && len(c.d.members.Live(now)) <= 1
 }
 
+// noticePause notes that the process was paused, as a suspended or starved one
+// is: its configuration may be out of date.
+func (c *control) noticePause(now time.Time) {
+	if !c.ticked.IsZero() && now.Sub(c.ticked) > pauseLimit {
+		c.resumed = now
+		c.d.Log.Warn().Dur("pause", now.Sub(c.ticked)).Msg("daemon: the process was paused")
+	}
+	c.ticked = now
+}
+
+// viewUntil returns when a snapshot made now expires. After a pause nothing is
+// routed until the store confirmed the configuration, or did not answer for
+// viewTime, as in an outage.
+func (c *control) viewUntil(now time.Time) time.Time {
+	if c.resumed.IsZero() {
+		return now.Add(viewTime)
+	}
+	since := now.Sub(c.resumed)
+	age, ok := c.d.watcher.Age()
+	if since <= viewTime && (!ok || age >= since) {
+		return c.resumed
+	}
+	c.resumed = time.Time{}
+	return now.Add(viewTime)
+}
+
 // instance names this run of the daemon towards peers.
 func (d *Daemon) instance() string {
 	return d.Settings.Name + "-" + d.started.UTC().Format("20060102T150405.000000000")
--- a/guavagateway/call.go
+++ b/guavagateway/call.go
@@ -52,6 +52,9 @@
 
 // attempt sends the request of a try to its endpoint and reads the answer.
 func (g *Gateway) attempt(t *try) reply {
+	if g.expired() {
+		return reply{err: errViewExpired, rejected: true}
+	}
 	started := time.Now()
 	rep := g.exchangeOnce(t)
 	rep.elapsed = time.Since(started)
--- a/guavagateway/gateway_test.go
+++ b/guavagateway/gateway_test.go
@@ -137,6 +137,29 @@
 	require.Equal(t, 200, status)
 }
 
+// TestExpiredView guards against requests to endpoints that left while the
+// process was paused.
+func TestExpiredView(t *testing.T) {
+	a := newEndpoint(t, 1, nil, echo)
+	f := newGateway(t, &Gateway{}, nil, a)
+	s := *f.snapshot.Load()
+	s.ValidUntil = f.clock.Now().Add(time.Minute)
+	f.Set(&s)
+	status, _, _ := f.do(t, "POST", "/svc/x", "in time")
+	require.Equal(t, 200, status)
+	ran := a.total()
+	f.clock.ahead.Add(int64(time.Minute))
+	require.False(t, f.Ready())
+	for _, method := range []string{"POST", "PUT"} {
+		_, outcome, _ := f.do(t, method, "/svc/x", "late")
+		require.Equal(t, guavascale.OutcomeNotRun, outcome)
+	}
+	require.Equal(t, ran, a.total())
+	f.set(nil, a)
+	status, _, _ = f.do(t, "POST", "/svc/x", "new view")
+	require.Equal(t, 200, status)
+}
+
 // TestPriorities guards against urgent requests that are refused while lower
 // ones are served, and against a refused request that ran.
 func TestPriorities(t *testing.T) {
--- a/guavagateway/guavagateway.go
+++ b/guavagateway/guavagateway.go
@@ -44,11 +44,14 @@
 		Daemons   []string
 		Services  map[string]guavascale.Service
 		Endpoints []guavascale.Endpoint
-		// ZonesOut holds the zones that get no requests.
 		// Isolated is set while the daemon reaches neither the store nor any
 		// peer. Its view of zones and endpoints may then be out of date while
 		// that of the others is not, so callers should go to other daemons.
 		Isolated bool
+		// ValidUntil is when the snapshot may no longer be acted on; requests
+		// are NotRun from then on. The zero value sets no end.
+		ValidUntil time.Time
+		// ZonesOut holds the zones that get no requests.
 		ZonesOut map[guavascale.Zone]bool
 		Preset   guavascale.Preset
 	}
@@ -191,7 +194,7 @@
 	g.init()
 	at := g.readyAt.Load()
 	s := g.snapshot.Load()
-	return s != nil && !s.Isolated && at != 0 && g.Clock.Now().UnixNano() >= at && !g.draining.Load()
+	return s != nil && !s.Isolated && !g.expired() && at != 0 && g.Clock.Now().UnixNano() >= at && !g.draining.Load()
 }
 
 // Serve answers callers on ln until Shutdown. It fails with the listener's
