guavainterference: expect no loss of a service that was never measured

With the priors, 15 busy cores of an unknown kind were refused for 2 minutes beside a service without target or without reported latency, in every shard and for ever. The caution now begins with the first measurement. Removing the case fails TestUnmeasuredServiceCostsNothing.

--- a/guavainterference/estimator.go
+++ b/guavainterference/estimator.go
@@ -147,6 +147,11 @@
 	if more != nil {
 		p.add(more.Kind, float64(more.Size.MilliCores)/coreMilliCores)
 	}
+	// Nothing is known of a service that was never measured, for instance
+	// because it has no target. Caution would cost batch work for ever.
+	if p.f == nil {
+		return p.mean
+	}
 	return p.mean + placementDeviations*math.Sqrt(max(p.variance(), 0))
 }
 
--- a/guavainterference/estimator_test.go
+++ b/guavainterference/estimator_test.go
@@ -100,6 +100,16 @@
 	require.True(t, e.Get(fmt.Sprint("s", 3*maxServiceKinds-1), fmt.Sprint("b", 2*maxBatchKinds-1)).Known, "the newest pair is kept")
 }
 
+// Guards against batch work that is kept away from services whose latency the
+// platform does not report: caution would never end there.
+func TestUnmeasuredServiceCostsNothing(t *testing.T) {
+	var e Estimator
+	beside := loads(map[string]int64{"loud": 16})
+	require.Zero(t, e.Loss(batchTask("loud", 8), beside))
+	e.Observe(&Worker{Services: []Service{{Kind: "checkout", Ratio: 0.5, MeasuredAt: testStart}}})
+	require.Positive(t, e.Loss(batchTask("loud", 8), beside), "an unknown kind beside a measured service")
+}
+
 // Guards against allocation in placement.
 func TestLossAllocatesNothing(t *testing.T) {
 	var e Estimator
