--- a/guavashard/harness_test.go
+++ b/guavashard/harness_test.go
@@ -40,10 +40,8 @@
 		stale bool
 		// faulty switches message faults on.
 		faulty bool
-		// safeguard switches, off in normal runs.
+		// commits run in the next step.
 		commits []func()
-		// paused is an earlier owner that believes it still owns the shard.
-		paused *Shard
 		// unreported holds tasks whose attempt ended on a worker which ended
 		// in turn before it could report that, unreachable those that ran on a worker that
 		// was cut off, whose last checkpoint nobody can learn of.
@@ -101,9 +99,12 @@
 
 // takeOver replaces the owner by one with the next epoch, which knows only the
 // log. Commits under way fail; messages under way may still arrive.
-func (h *harness) takeOver() {
-	h.paused = h.shard
-	next := New(testName, testZone, h.shard.Epoch+1, h.clock.now)
+func (h *harness) takeOver() { h.reload(h.shard.Epoch + 1) }
+
+// reload rebuilds the shard from the log, as an owner does whose log was
+// closed; it keeps its epoch then.
+func (h *harness) reload(epoch uint64) {
+	next := New(testName, testZone, epoch, h.clock.now)
 	require.NoError(h.t, next.Load(nil, h.log))
 	h.shard, h.commits = next, nil
 }
--- a/guavashard/order_test.go
+++ b/guavashard/order_test.go
@@ -37,6 +37,30 @@
 	h.requireNoViolations()
 }
 
+// Guards against the same when the owner rebuilt the shard from its log in
+// between, at the same epoch.
+func TestRepeatedStartAfterAReload(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	repeated := false
+	h.hold = func(m Message) time.Duration {
+		if hasStart(m) && !repeated {
+			repeated = true
+			h.late = append(h.late, lateMessage{h.clock.now.Add(1900 * time.Millisecond), m})
+		}
+		return 0
+	}
+	h.declareSafely(testJob("tally", 1, 0.2))
+	for !h.fleet.Verdict().Done["tally/0"] {
+		h.step()
+	}
+	h.run(500 * time.Millisecond)
+	h.reload(h.shard.Epoch)
+	h.run(20 * time.Second)
+	require.True(t, repeated)
+	require.Equal(t, 1, h.fleet.Verdict().StartsByAttempt["tally/0#1"])
+	h.requireNoViolations()
+}
+
 // Guards against a new attempt while the start order of the previous one may
 // still arrive.
 func TestLateStartAfterAStaleConfiguration(t *testing.T) {
--- a/guavashard/worker.go
+++ b/guavashard/worker.go
@@ -94,6 +94,9 @@
 		w = &workerState{
 			worker: guavascale.Worker{ID: id},
 			failed: make(map[guavascale.TaskID]string),
+			// Start orders sent before this state was made, at the same epoch,
+			// may still arrive.
+			startsUntil: s.now.Add(orderSlack),
 		}
 		s.workers[id] = w
 		i, _ := slices.BinarySearchFunc(s.order, id, compareWorker)
