--- a/cmd/guavademo/failure_test.go
+++ b/cmd/guavademo/failure_test.go
@@ -105,6 +105,28 @@
 		}
 		w.declare(t, guavascale.Job{ID: "late-pack", Team: "audit", Kind: "audit-pack", Tasks: 12, RunSeconds: 2})
 	}},
+	// Guards against requests that a planned stop cuts, with one shard whose
+	// owner stops.
+	"daemon stopped gracefully": {zones: 1, inject: func(t *testing.T, w *trial) {
+		i := w.owner(t)
+		w.load.sendLong(w.cluster.list()[i], longRequests)
+		w.pause(t, time.Second)
+		require.NoError(t, w.cluster.stopGracefully(i))
+		require.NoError(t, w.cluster.startDaemon(i))
+	}},
+	// Guards against faults that show only in combination.
+	"store lossy, daemon killed, worker restarted": {inject: func(t *testing.T, w *trial) {
+		lossy := guavafake.StoreFaults{LoseProbability: 0.05, Seed: 2}
+		require.NoError(t, w.cluster.control.SetTableFaults(lossy))
+		i := w.owner(t)
+		first, second := w.busyWorkers(t)
+		require.NoError(t, w.cluster.list()[i].signal(syscall.SIGKILL))
+		require.NoError(t, w.cluster.control.Act(first, guavafake.ActionRestart))
+		require.NoError(t, w.cluster.control.SetWorkerFaults(second, guavafake.WorkerFaults{LoseAnswers: 5}))
+		w.declare(t, guavascale.Job{ID: "tally", Team: "ballots", Kind: "tally", Tasks: 12, RunSeconds: 2, Urgent: true})
+		w.pause(t, 3*time.Second)
+		require.NoError(t, w.cluster.startDaemon(i))
+	}},
 	// Guards against tasks that run elsewhere while a worker that cannot be
 	// reached still runs them. One worker is back before the leases of its
 	// tasks expire, the other one after.
@@ -191,13 +213,15 @@
 	}
 	var r report
 	require.NoError(t, r.collect(w.cluster, w.load))
-	t.Logf("%d requests, results %v, %d evictions, reasons %v", r.Requests, r.Results, r.Evictions, r.Reasons)
+	t.Logf("%d requests, results %v, %d keys taken in vain, %d evictions, reasons %v",
+		r.Requests, r.Results, r.KeysTakenInVain, r.Evictions, r.Reasons)
 	require.Empty(t, r.Violations)
 	require.Empty(t, r.Notes)
 	require.Zero(t, r.Wrong, "wrong or incomplete answers")
 	require.Zero(t, r.AnsweredWithoutRun, "answered requests that did not run")
 	require.Zero(t, r.NotRunButRan, "requests answered NotRun that ran")
 	require.LessOrEqual(t, r.MaxRuns, 1, "runs of a non-idempotent request")
+	require.Zero(t, r.CutByGracefulStop, "requests cut by a graceful stop")
 	require.Zero(t, r.Reverts, "reverted configurations")
 	require.Positive(t, r.Results[resultAnswered])
 	if f.wholeTasks {
--- a/cmd/guavademo/ledger.go
+++ b/cmd/guavademo/ledger.go
@@ -57,7 +57,11 @@
 		NotRunButRan int
 		// AnsweredWithoutRun counts the answered requests without a run.
 		AnsweredWithoutRun int
-		Wrong              int
+		// KeysTakenInVain counts the keyed requests that never ran and whose
+		// repeat was answered AlreadyRun. That is safe, and the caller has to
+		// use a new key.
+		KeysTakenInVain int
+		Wrong           int
 	}
 )
 
@@ -212,6 +216,9 @@
 	if certain && !answered && runs > 0 {
 		c.NotRunButRan++
 	}
+	if slices.Contains(r.Results, resultAlreadyRun) && runs == 0 {
+		c.KeysTakenInVain++
+	}
 	if answered && runs == 0 {
 		c.AnsweredWithoutRun++
 	}
--- a/cmd/guavademo/report.go
+++ b/cmd/guavademo/report.go
@@ -126,6 +126,7 @@
 	line("latency p50 / p99 (information)", "%.1f ms / %.1f ms", r.LatencyP50Ms, r.LatencyP99Ms)
 	line("most runs of a non-idempotent request", "%d", r.MaxRuns)
 	line("requests answered NotRun that ran", "%d", r.NotRunButRan)
+	line("keys taken in vain (information)", "%d", r.KeysTakenInVain)
 	line("wrong or incomplete answers", "%d", r.Wrong+r.AnsweredWithoutRun)
 	line("requests cut by the graceful stop", "%d", r.CutByGracefulStop)
 	line("starts in the closed zone after 3 s", "%d", r.StartsInClosedZone)
