guavabench: measure recovery; guavadaemon: add Kill for tests

A daemon can be killed in process: its goroutines stop and its listeners close, nothing is released. Listen lets a measurement keep the accepted connections and break them. The state dump tells the number of tasks of a shard and whether the daemon may act for it.

--- a/cmd/guavabench/main.go
+++ b/cmd/guavabench/main.go
@@ -9,8 +9,9 @@
 import "github.com/alecthomas/kong"
 
 type cli struct {
-	Changes changesCmd `cmd:"" help:"Measure how fast changes of the configuration are in force, with daemons in one process."`
-	Routing routingCmd `cmd:"" help:"Compare routing policies in a queueing model and measure the gateway's own cost."`
+	Changes  changesCmd  `cmd:"" help:"Measure how fast changes of the configuration are in force, with daemons in one process."`
+	Recovery recoveryCmd `cmd:"" help:"Measure how the system recovers from failures, with daemons in one process."`
+	Routing  routingCmd  `cmd:"" help:"Compare routing policies in a queueing model and measure the gateway's own cost."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/guavabench/recovery.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"guavascale.example"
+	"guavascale.example/guavaconfig"
+	"guavascale.example/guavafake"
+	"guavascale.example/guavaoperator"
+)
+
+type (
+	// recoveryCmd measures how the system recovers from failures.
+	recoveryCmd struct {
+		Daemons  int    `default:"7" help:"Number of daemons."`
+		Workers  int    `default:"56" help:"Number of workers."`
+		Runs     int    `default:"3" help:"Number of runs of each trial."`
+		Parallel int    `default:"7" help:"Number of trials at a time, each with a system of its own."`
+		Only     string `default:"" help:"Names of trials to run, separated by commas; all by default."`
+		Commit   string `default:"unknown" help:"Commit named in the heading."`
+		Output   string `default:"-" help:"File to write; - is standard output."`
+	}
+
+	// trial brings about one failure. Each run has a fresh system.
+	trial struct {
+		name string
+		// lease is the task lease in seconds; 0 for the default of 720 s.
+		lease float64
+		// run returns the phases by name, in order.
+		run func(t *trialRun) error
+	}
+
+	// trialRun is one run of a trial.
+	trialRun struct {
+		s      *recoverySystem
+		load   callers
+		phases []namedPhase
+	}
+
+	namedPhase struct {
+		name string
+		phase
+	}
+)
+
+const (
+	recoveryService   = "licence"
+	recoveryInstances = 28
+	recoveryJobs      = 20
+	recoveryJobTasks  = 20
+	recoveryTasks     = recoveryJobs * recoveryJobTasks
+	steadyTimeout     = 40 * time.Second
+	storeOutage       = 60 * time.Second
+)
+
+// Run runs all trials and writes the table.
+func (c recoveryCmd) Run() error {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var failed error
+	results := map[string][][]namedPhase{}
+	slots := make(chan struct{}, c.Parallel)
+	for range c.Runs {
+		for _, t := range trials {
+			if c.Only != "" && !slices.Contains(strings.Split(c.Only, ","), t.name) {
+				continue
+			}
+			slots <- struct{}{}
+			wg.Go(func() {
+				defer func() { <-slots }()
+				phases, err := c.run(t)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					failed = fmt.Errorf("trial %s: %w", t.name, err)
+					return
+				}
+				results[t.name] = append(results[t.name], phases)
+			})
+		}
+	}
+	wg.Wait()
+	if failed != nil {
+		return failed
+	}
+	return c.write(results)
+}
+
+func (c recoveryCmd) run(t trial) ([]namedPhase, error) {
+	s, err := startRecoverySystem(c.Daemons, c.Workers)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	if err := s.declareWork(t.lease); err != nil {
+		return nil, err
+	}
+	r := &trialRun{s: s, load: callers{s: s}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	r.load.start(ctx, &wg)
+	if err := s.waitSteady(); err != nil {
+		return nil, err
+	}
+	// Rates of the steady state are the baseline of each trial.
+	if err := r.phase("steady", 5*time.Second, nil, func() error { return nil }); err != nil {
+		return nil, err
+	}
+	err = t.run(r)
+	fmt.Fprintf(os.Stderr, "%s: requests that failed: %v\n", t.name, r.load.reason)
+	return r.phases, err
+}
+
+// phase brings an event about and watches the system for a time.
+func (r *trialRun) phase(name string, length time.Duration, excused []guavascale.WorkerID, event func() error) error {
+	if err := event(); err != nil {
+		return err
+	}
+	w := begin(r.s, &r.load, recoveryTasks, recoveryInstances, excused)
+	time.Sleep(length)
+	r.phases = append(r.phases, namedPhase{name, w.end()})
+	return nil
+}
+
+func workerSpec(n int, size guavascale.Resources) guavafake.FleetSpec {
+	return guavafake.FleetSpec{Workers: n, Zones: recoveryZones, Capacity: size, Host: "127.0.0.1"}
+}
+
+// declareWork declares a service and batch tasks that outlast the trial.
+func (s *recoverySystem) declareWork(lease float64) error {
+	ctx := context.Background()
+	preset := guavascale.Preset{Name: "recovery", BatchLeaseSeconds: lease, ServiceLeaseSeconds: lease, StartsPerSecond: 50}
+	changes := []guavaconfig.Change{
+		{Kind: guavaconfig.PutPreset, Preset: &preset},
+		{Kind: guavaconfig.UsePreset, Name: preset.Name},
+		{Kind: guavaconfig.PutService, Service: &guavascale.Service{
+			Name: recoveryService, Kind: "checkout", Team: "desk", Instances: recoveryInstances, TargetMs: 50,
+			Size: guavascale.Resources{MilliCores: 1000, MemoryMB: 1024},
+		}},
+	}
+	for _, c := range changes {
+		if err := s.submitted(c); err != nil {
+			return err
+		}
+	}
+	for i := range recoveryJobs {
+		job := guavascale.Job{
+			ID: fmt.Sprintf("pack-%d", i), Team: "audit", Kind: "audit-pack", Tasks: recoveryJobTasks, RunSeconds: 100_000,
+			Size: guavascale.Resources{MilliCores: 1000, MemoryMB: 512},
+		}
+		if _, err := s.client.DeclareJob(ctx, guavaoperator.JobRequest{ID: guavaconfig.NewID(), Job: job}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// waitSteady waits until all work runs and all daemons serve requests.
+func (s *recoverySystem) waitSteady() error {
+	deadline := time.Now().Add(steadyTimeout)
+	for time.Now().Before(deadline) {
+		instances, batch := s.runs()
+		all, _ := s.unowned()
+		if instances >= recoveryInstances && batch == recoveryTasks && all == 0 {
+			// The gain delay of request slots is 5 s.
+			time.Sleep(6 * time.Second)
+			return nil
+		}
+		time.Sleep(sampleInterval)
+	}
+	instances, batch := s.runs()
+	return fmt.Errorf("%d instances and %d tasks run after %s", instances, batch, steadyTimeout)
+}
+
+func (c recoveryCmd) write(results map[string][][]namedPhase) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# Recovery: `guavabench recovery --runs %d --parallel %d`, commit %s\n\n", c.Runs, c.Parallel, c.Commit)
+	b.WriteString(recoveryText(c))
+	columns := []struct {
+		title string
+		of    func(p *phase) float64
+	}{
+		{"shards owned, s", func(p *phase) float64 { return p.shardsOwned }},
+		{"all partitions owned, s", func(p *phase) float64 { return p.allOwned }},
+		{"tasks owned, workers heard of, s", func(p *phase) float64 { return p.heard }},
+		{"all tasks running, s", func(p *phase) float64 { return p.batchBack }},
+		{"reads/s", func(p *phase) float64 { return p.reads }},
+		{"peak", func(p *phase) float64 { return p.readPeak }},
+		{"writes/s", func(p *phase) float64 { return p.writes }},
+		{"peak", func(p *phase) float64 { return p.writePeak }},
+		{"task starts", func(p *phase) float64 { return p.restarts }},
+		{"needless", func(p *phase) float64 { return p.needless }},
+		{"resumed without all work", func(p *phase) float64 { return p.shortened }},
+		{"lost", func(p *phase) float64 { return p.lost }},
+		{"instances below target", func(p *phase) float64 { return p.deficit }},
+		{"for, s", func(p *phase) float64 { return p.deficitTime }},
+		{"instance starts", func(p *phase) float64 { return p.instanceStarts }},
+		{"requests failed", func(p *phase) float64 { return p.failed }},
+		{"keyed failed", func(p *phase) float64 { return p.keyedFailed }},
+		{"violations", func(p *phase) float64 { return p.violations }},
+	}
+	b.WriteString("| Trial | Phase |")
+	for _, col := range columns {
+		b.WriteString(" " + col.title + " |")
+	}
+	b.WriteString("\n|---|---|" + strings.Repeat("---|", len(columns)) + "\n")
+	for _, t := range trials {
+		runs := results[t.name]
+		if len(runs) == 0 {
+			continue
+		}
+		for i := range runs[0] {
+			fmt.Fprintf(&b, "| %s | %s |", t.name, runs[0][i].name)
+			for _, col := range columns {
+				b.WriteString(" " + spread(runs, i, col.of) + " |")
+			}
+			b.WriteString("\n")
+		}
+	}
+	if c.Output == "-" {
+		_, err := fmt.Print(b.String())
+		return err
+	}
+	return os.WriteFile(c.Output, []byte(b.String()), 0o644)
+}
+
+// spread returns the median with the least and the greatest value, or one
+// value when all runs agree.
+func spread(runs [][]namedPhase, i int, of func(*phase) float64) string {
+	var v []float64
+	for _, r := range runs {
+		v = append(v, of(&r[i].phase))
+	}
+	slices.SortFunc(v, cmp.Compare[float64])
+	if v[0] == v[len(v)-1] {
+		return figure(v[0])
+	}
+	return fmt.Sprintf("%s (%s to %s)", figure(v[len(v)/2]), figure(v[0]), figure(v[len(v)-1]))
+}
+
+func figure(v float64) string {
+	if v == float64(int64(v)) || v >= 100 {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.1f", v)
+}
+
+func recoveryText(c recoveryCmd) string {
+	return fmt.Sprintf("%d daemons and %d workers in %d zones, %d batch tasks and %d service instances; real time on a shared machine, daemons in one process over loopback, %d trials at a time. A cell is the median of %d runs with the least and the greatest. Times are in seconds after the start of the phase, up to the last sample (every 100 ms, those of the workers every 300 ms) at which the condition did not hold. Store calls are those of all daemons in the first 10 s of a phase, with the peak over 1 s; reads include the host list. Requests: %d callers with a pause of 20 ms, one request in five with an idempotency key, to the daemons that were ready at the last probe (every 250 ms).\n\n",
+		c.Daemons, c.Workers, len(recoveryZones), recoveryTasks, recoveryInstances, c.Parallel, c.Runs, recoveryCallers)
+}
--- /dev/null
+++ b/cmd/guavabench/recovery_calls.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"guavascale.example/guavaconfig"
+	"guavascale.example/guavagateway"
+)
+
+const (
+	recoveryCallers = 7
+	recoveryPause   = 20 * time.Millisecond
+	// keyedEvery is the share of requests that carry an idempotency key.
+	keyedEvery   = 5
+	probeTime    = 250 * time.Millisecond
+	callDeadline = 5 * time.Second
+)
+
+// start probes and calls until ctx ends.
+func (c *callers) start(ctx context.Context, wg *sync.WaitGroup) {
+	c.reason = map[string]int{}
+	c.probe()
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			sleep(ctx, probeTime)
+			c.probe()
+		}
+	})
+	for range recoveryCallers {
+		wg.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				c.call(i%keyedEvery == 0)
+				sleep(ctx, recoveryPause)
+			}
+		})
+	}
+}
+
+func (c *callers) probe() {
+	var ready []string
+	for _, n := range c.s.live() {
+		addr := n.daemon.Addresses().Gateway
+		status, _, err := fasthttp.GetTimeout(nil, "http://"+addr+guavagateway.ReadyPath, time.Second)
+		if err == nil && status == fasthttp.StatusOK {
+			ready = append(ready, addr)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ready = ready
+}
+
+func (c *callers) pick() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.ready) == 0 {
+		return ""
+	}
+	return c.ready[rand.IntN(len(c.ready))]
+}
+
+func (c *callers) call(keyed bool) {
+	addr := c.pick()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + "/" + recoveryService + "/seats")
+	if keyed {
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.Header.Set("Idempotency-Key", guavaconfig.NewID())
+	}
+	reason := ""
+	if err := fasthttp.DoTimeout(req, resp, callDeadline); err != nil {
+		reason = "no answer"
+	} else if resp.StatusCode() != fasthttp.StatusOK {
+		reason = fmt.Sprintf("%d %s", resp.StatusCode(), resp.Header.Peek("Guavascale-Outcome"))
+	}
+	c.note(keyed, reason)
+}
+
+func (c *callers) note(keyed bool, reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	failed := int64(0)
+	if reason != "" {
+		failed = 1
+		c.reason[fmt.Sprintf("%s (keyed: %t)", reason, keyed)]++
+	}
+	if keyed {
+		c.counts.keyed++
+		c.counts.keyedFailed += failed
+		return
+	}
+	c.counts.requests++
+	c.counts.failed += failed
+}
+
+func (c *callers) total() callCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts
+}
--- a/guavadaemon/daemon.go
+++ b/guavadaemon/daemon.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +51,8 @@
 		Settings guavaconfig.Settings
 		Platform Platform
 		Log      zerolog.Logger
+		// Listen opens the listeners; net.Listen when nil.
+		Listen func(network, address string) (net.Listener, error)
 
 		clock    guavascale.Clock
 		registry metrics.Registry
@@ -76,6 +79,8 @@
 		stopping    atomic.Bool
 		addresses   Addresses
 		ready       chan struct{}
+		killed      chan struct{}
+		killing     sync.Once
 		newConfig   chan struct{}
 	}
 
@@ -123,8 +128,12 @@
 	close(d.ready)
 	d.Log.Info().Str("gateway", d.addresses.Gateway).Str("operator", d.addresses.Operator).
 		Str("peer", d.addresses.Peer).Msg("daemon: started")
-	<-ctx.Done()
-	d.shutdown(cancel)
+	select {
+	case <-ctx.Done():
+		d.shutdown(cancel)
+	case <-d.killed:
+		d.abandon(cancel, l)
+	}
 	return nil
 }
 
@@ -139,6 +148,7 @@
 func (d *Daemon) Prepare() {
 	if d.ready == nil {
 		d.ready = make(chan struct{})
+		d.killed = make(chan struct{})
 	}
 }
 
@@ -146,6 +156,10 @@
 	var l listeners
 	d.Prepare()
 	s := &d.Settings
+	listen := d.Listen
+	if listen == nil {
+		listen = net.Listen
+	}
 	for _, e := range []struct {
 		name string
 		cfg  guavaconfig.Listener
@@ -160,7 +174,7 @@
 		if e.cfg.Listen == "" {
 			continue
 		}
-		ln, err := net.Listen("tcp", e.cfg.Listen)
+		ln, err := listen("tcp", e.cfg.Listen)
 		if err != nil {
 			return l, fmt.Errorf("listen on %s (%s): %w", e.cfg.Listen, e.name, err)
 		}
--- a/guavadaemon/state.go
+++ b/guavadaemon/state.go
@@ -38,8 +38,11 @@
 	ShardState struct {
 		Partition guavascale.Partition
 		Epoch     uint64
-		// Open is set once the log was read.
+		// Open is set once the log was read, Acts while the daemon may act
+		// for the shard.
 		Open     bool
+		Acts     bool
+		Tasks    int
 		Sequence uint64
 		Pending  int
 		Counters guavashard.Counters
@@ -88,7 +91,10 @@
 	list := make([]ShardState, 0, len(c.shards))
 	for _, o := range c.shards {
 		s := ShardState{Partition: o.name, Epoch: o.epoch, Open: o.shard != nil, Sequence: o.sequence}
+		right, err := c.d.lease.May(o.name)
+		s.Acts = err == nil && right.Epoch == o.epoch
 		if o.shard != nil {
+			s.Tasks = len(o.shard.Tasks())
 			s.Summary = o.shard.Summary()
 			s.Pending = s.Summary.Pending
 			s.Counters = o.shard.Counters
@@ -108,3 +114,6 @@
 	enc.SetIndent("", "  ")
 	return enc.Encode(st)
 }
+
+// Work returns the content of the owned shards.
+func (d *Daemon) Work(ctx context.Context) (guavascale.Work, error) { return (&local{d}).Work(ctx) }
