guavashard, guavadaemon, guavalease: keep work and endpoints through outages and takeovers

Workers now get time to answer. - A shard whose zone left the host list was wanted by its owner only; after a release nobody took it, and 80 tasks belonged to nobody for 50 s. Every shard with an owner row is now wanted by all daemons. - Daemons that shut down stayed in the ranking, so that what they released could wait for the delay of 5 s of the next place. - A shard without answers yet reported no capacity, lost its service instances to other shards and started them again; its endpoints left the routing. - A new daemon was ready one second before its slots were usable.

--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -32,12 +32,27 @@
 	instances     map[string]map[guavascale.Partition]int
 	instancesNext time.Time
 	others        []guavascale.PartitionSummary
-	sequence      uint64
-	publishNext   time.Time
-	summaryNext   time.Time
+	// kept holds the last summary of each shard.
+	kept        map[guavascale.Partition]keptSummary
+	sequence    uint64
+	publishNext time.Time
+	// leaving holds the daemons that shut down.
+	leaving     []string
+	summaryNext time.Time
+}
+
+// keptSummary is the last summary of a shard and the time up to which it is
+// used when no live daemon publishes one.
+type keptSummary struct {
+	summary guavascale.PartitionSummary
+	until   time.Time
 }
 
 const (
+	// keepSummary covers the 11 to 14 s of a takeover after the death of an
+	// owner.
+	keepSummary = 20 * time.Second
+
 	tickInterval = 100 * time.Millisecond
 	// hostInterval is the time between reads of the host list.
 	hostInterval = 2 * time.Second
@@ -61,6 +76,7 @@
 		d: d, rng: rng,
 		shards:  make(map[guavascale.Partition]*owned),
 		byShard: make(map[guavascale.Partition][]guavascale.Worker),
+		kept:    make(map[guavascale.Partition]keptSummary),
 	}
 }
 
@@ -164,7 +180,8 @@
 }
 
 // setWorkers takes over a host list. A shard that the list does not name any
-// more stays wanted while its owner has tasks on it.
+// more stays wanted by all daemons, since it may hold tasks: when only its
+// owner wanted it, nobody took it after a release or the owner's death.
 func (c *control) setWorkers(workers []guavascale.Worker) {
 	c.workers = workers
 	c.byShard = make(map[guavascale.Partition][]guavascale.Worker)
@@ -182,9 +199,9 @@
 	for p := range c.byShard {
 		wanted = append(wanted, p)
 	}
-	for p, o := range c.shards {
-		if c.byShard[p] == nil {
-			c.shardZone[p] = o.zone
+	for _, p := range c.d.lease.Rights().Known() {
+		if !isClaim(p) && c.byShard[p] == nil {
+			c.shardZone[p] = zoneOf(p)
 			wanted = append(wanted, p)
 		}
 	}
@@ -195,16 +212,23 @@
 // two owners of a partition the one with the higher epoch counts.
 func (c *control) collectSummaries(now time.Time) {
 	latest := make(map[guavascale.Partition]guavascale.PartitionSummary)
+	for p, k := range c.kept {
+		if now.Before(k.until) {
+			latest[p] = k.summary
+		}
+	}
 	for _, s := range c.d.members.Live(now) {
 		for _, p := range s.Partitions {
-			if have, ok := latest[p.Partition]; !ok || p.Epoch > have.Epoch {
+			if have, ok := latest[p.Partition]; !ok || p.Epoch >= have.Epoch {
 				latest[p.Partition] = p
+				c.keep(now, p)
 			}
 		}
 	}
 	for _, o := range c.shards {
 		if o.shard != nil {
 			latest[o.name] = o.shard.Summary()
+			c.keep(now, latest[o.name])
 		}
 	}
 	c.others = c.others[:0]
@@ -214,6 +238,15 @@
 	slices.SortFunc(c.others, func(a, b guavascale.PartitionSummary) int { return cmp.Compare(a.Partition, b.Partition) })
 }
 
+// keep remembers a summary beyond the death or the shutdown of the owner until
+// the next one publishes its own: the instances go on running, and without
+// their endpoints the others would carry their load. The summary offers no
+// room, because nobody places tasks meanwhile.
+func (c *control) keep(now time.Time, p guavascale.PartitionSummary) {
+	p.Free, p.Total = guavascale.Resources{}, guavascale.Resources{}
+	c.kept[p.Partition] = keptSummary{p, now.Add(keepSummary)}
+}
+
 // divide splits the instances of all services over the shards of the zones in
 // service. A shard whose owner reports no answering worker gets none.
 func (c *control) divide(cfg *guavascale.Config) {
--- a/guavadaemon/state.go
+++ b/guavadaemon/state.go
@@ -44,10 +44,12 @@
 		Acts bool
 		// BatchTasks counts the batch tasks that have not ended.
 		BatchTasks int
-		Sequence   uint64
-		Pending    int
-		Counters   guavashard.Counters
-		Summary    guavascale.PartitionSummary
+		// Answering counts the workers that answered recently.
+		Answering int
+		Sequence  uint64
+		Pending   int
+		Counters  guavashard.Counters
+		Summary   guavascale.PartitionSummary
 	}
 )
 
@@ -96,6 +98,7 @@
 		s.Acts = err == nil && right.Epoch == o.epoch
 		if o.shard != nil {
 			s.BatchTasks = countBatch(o.shard.Tasks())
+			s.Answering = countAnswering(o.shard.Workers())
 			s.Summary = o.shard.Summary()
 			s.Pending = s.Summary.Pending
 			s.Counters = o.shard.Counters
@@ -115,6 +118,16 @@
 	return n
 }
 
+func countAnswering(workers []guavascale.WorkerStatus) int {
+	n := 0
+	for i := range workers {
+		if !workers[i].Silent {
+			n++
+		}
+	}
+	return n
+}
+
 // Dump writes the state dump as JSON.
 func (d *Daemon) Dump(ctx context.Context, w io.Writer) error {
 	st, err := d.State(ctx)
--- a/guavalease/driver.go
+++ b/guavalease/driver.go
@@ -86,6 +86,14 @@
 	})
 }
 
+// SetLeaving sets the other daemons that shut down, by daemon ID.
+func (d *Driver) SetLeaving(daemons []string) {
+	d.post(func(now time.Time) Output {
+		d.machine.SetLeaving(daemons)
+		return d.machine.Tick(now)
+	})
+}
+
 // SetWanted sets the partitions that should have an owner.
 func (d *Driver) SetWanted(partitions []guavascale.Partition) {
 	d.post(func(now time.Time) Output {
--- a/guavalease/guavalease.go
+++ b/guavalease/guavalease.go
@@ -164,6 +164,12 @@
 	// maxScanGap is the number of scan intervals after which the time between
 	// two reads counts as a failed read.
 	maxScanGap = 3
+	// minHurry is the least interval between scans while partitions are about
+	// to be released to this daemon; hurriedReads bounds the reads a second of
+	// all daemons that do so, 3% of what the store sustains.
+	minHurry     = 500 * time.Millisecond
+	readsPerScan = 2
+	hurriedReads = 60
 )
 
 func (c Config) withDefaults() Config {
--- a/guavalease/machine.go
+++ b/guavalease/machine.go
@@ -22,6 +22,8 @@
 		names []guavascale.Partition
 		// members is nil when the live sessions stand for the members.
 		members []string
+		// leaving holds other daemons that shut down and release what they own.
+		leaving []string
 		view    view
 		calls   map[uint64]func(time.Time, Result)
 		lastID  uint64
@@ -90,6 +92,12 @@
 	}
 }
 
+// SetLeaving sets the other daemons that shut down. They count in no ranking,
+// so that what they release is taken without the delay for their place.
+func (m *Machine) SetLeaving(daemons []string) {
+	m.leaving = slices.DeleteFunc(slices.Clone(daemons), func(d string) bool { return d == m.cfg.Daemon })
+}
+
 // SetWanted sets the partitions that should have an owner.
 func (m *Machine) SetWanted(partitions []guavascale.Partition) {
 	for _, p := range m.parts {
--- a/guavalease/ownership.go
+++ b/guavalease/ownership.go
@@ -128,7 +128,10 @@
 		case r.Err == nil:
 			m.observe(now, p, r.Version, row)
 		case isCondition(r.Err):
+			// Another daemon was faster and deleted the session row; a scan
+			// shows what else can be taken.
 			p.unsettled = true
+			m.hurry(now)
 		default:
 			p.unsettled = !notApplied(r.Err)
 			p.next = now.Add(minBackoff + m.jitter(maxBackoff))
@@ -148,7 +151,7 @@
 			return
 		}
 		p.unsettled = false
-		p.next = now.Add(minBackoff + m.jitter(m.cfg.ScanEvery))
+		p.next = now.Add(minBackoff + m.jitter(minHurry))
 		if r.Err != nil {
 			return
 		}
--- a/guavalease/rights.go
+++ b/guavalease/rights.go
@@ -60,6 +60,20 @@
 	return row, ok
 }
 
+// Known returns the partitions that have an owner row, released or not, as the
+// last scan saw it, in no order.
+func (r *Rights) Known() []guavascale.Partition {
+	s := r.snapshot.Load()
+	if s == nil {
+		return nil
+	}
+	known := make([]guavascale.Partition, 0, len(s.owners))
+	for p := range s.owners {
+		known = append(known, p)
+	}
+	return known
+}
+
 // Held returns the partitions that this daemon owns, in no order, whether or
 // not the session's right has lapsed.
 func (r *Rights) Held() []guavascale.Partition {
--- a/guavalease/scan.go
+++ b/guavalease/scan.go
@@ -64,6 +64,9 @@
 	m.scannedOwners(now, r.Owners)
 	m.releaseSurplus(now)
 	m.deleteOrphan()
+	if m.expecting() {
+		m.hurry(now)
+	}
 }
 
 func (m *Machine) scannedSessions(now time.Time, rows []guavascale.Row) {
@@ -113,12 +116,13 @@
 
 // live returns the daemons over which partitions are distributed.
 func (m *Machine) live() []string {
+	gone := func(d string) bool { return slices.Contains(m.leaving, d) }
 	if m.members != nil {
-		return m.members
+		return slices.DeleteFunc(slices.Clone(m.members), gone)
 	}
 	daemons := []string{m.cfg.Daemon}
 	for _, o := range m.view.sessions {
-		if o.daemon != "" && !m.stale(o) {
+		if o.daemon != "" && !m.stale(o) && !gone(o.daemon) {
 			daemons = append(daemons, o.daemon)
 		}
 	}
@@ -126,6 +130,29 @@
 	return slices.Compact(daemons)
 }
 
+// expecting reports whether a partition is with another daemon, or with none,
+// although it ranks this daemon first, so that it is about to be released.
+func (m *Machine) expecting() bool {
+	live := m.live()
+	for _, name := range m.names {
+		p := m.parts[name]
+		if p.wanted && !p.held && !p.releasing && First(name, live) == m.cfg.Daemon {
+			return true
+		}
+	}
+	return false
+}
+
+// hurry brings the next scan forward. Each scan is two reads or more, so with
+// many daemons the interval grows to keep all of them at hurriedReads.
+func (m *Machine) hurry(now time.Time) {
+	every := time.Duration(len(m.view.sessions)+1) * readsPerScan * time.Second / hurriedReads
+	next := now.Add(max(every, minHurry))
+	if next.Before(m.view.next) {
+		m.view.next = next
+	}
+}
+
 // hasSession reports whether a daemon's session row was renewed recently.
 func (m *Machine) hasSession(now time.Time, daemon string) bool {
 	for _, o := range m.view.sessions {
--- a/guavashard/report.go
+++ b/guavashard/report.go
@@ -182,8 +182,14 @@
 	return min(time.Second<<min(n, 6), time.Minute)
 }
 
-// expireLeases ends the attempts of silent workers whose leases are over.
+// expireLeases ends the attempts of silent workers whose leases are over. After
+// an outage longer than the lease every worker is asked first: it tells the
+// checkpoint that it saved when the lease ended, without which the task would
+// start anew.
 func (s *Shard) expireLeases() {
+	if s.settling() {
+		return
+	}
 	for _, w := range s.order {
 		if s.responsive(w) {
 			continue
--- a/guavashard/service.go
+++ b/guavashard/service.go
@@ -98,7 +98,7 @@
 		e.leavingSince = s.now
 		return false
 	}
-	return s.responsive(w) || s.now.Sub(s.takenOver) < s.maxSilence()
+	return s.responsive(w) || s.settling()
 }
 
 func (s *Shard) addInstance(svc *guavascale.Service) {
--- a/guavashard/shard.go
+++ b/guavashard/shard.go
@@ -101,9 +101,13 @@
 
 		takenOver time.Time
 		now       time.Time
-		view      *View
-		tasks     map[guavascale.TaskID]*entry
-		workers   map[guavascale.WorkerID]*workerState
+		// stepped is the time of the last step, and resumed that of the first
+		// step after a pause in which the owner had no right to act.
+		stepped time.Time
+		resumed time.Time
+		view    *View
+		tasks   map[guavascale.TaskID]*entry
+		workers map[guavascale.WorkerID]*workerState
 		// order holds the workers ordered by ID. Loops go over ordered slices
 		// where the order matters, so that equal inputs give equal outputs.
 		order   []*workerState
@@ -199,7 +203,10 @@
 // Step advances the shard to the given time and returns what to do. Messages
 // are built only for workers that have none under way.
 func (s *Shard) Step(now time.Time, v *View) Effects {
-	s.now, s.view = now, v
+	if now.Sub(s.stepped) > silence {
+		s.resumed = now
+	}
+	s.now, s.stepped, s.view = now, now, v
 	s.updateWorkers()
 	s.updateQuotas()
 	s.expireLeases()
@@ -212,6 +219,12 @@
 	return s.take()
 }
 
+// settling reports whether the owner has only just begun to act, at a takeover
+// or after a store outage, so that the silence of a worker tells nothing yet.
+func (s *Shard) settling() bool {
+	return s.stepped.IsZero() || s.now.Sub(s.resumed) < s.maxSilence()
+}
+
 func (s *Shard) take() Effects {
 	e := s.effects
 	s.effects = Effects{}
--- a/guavashard/summary.go
+++ b/guavashard/summary.go
@@ -14,7 +14,9 @@
 		TeamUse: make(map[string]guavascale.Resources),
 	}
 	for _, w := range s.order {
-		if !s.responsive(w) || w.worker.Leaving {
+		// Workers that had no time to answer count as capacity, since a shard
+		// without any loses its service instances to others.
+		if w.worker.Leaving || !s.responsive(w) && !(s.settling() && w.listed) {
 			continue
 		}
 		p.Capacity = p.Capacity.Add(w.worker.Capacity)
@@ -40,7 +42,7 @@
 	var list []guavascale.Endpoint
 	for _, e := range s.tasks {
 		t := &e.task
-		if t.Class != guavascale.ClassService || !t.State.HoldsWorker() || !e.seen {
+		if t.Class != guavascale.ClassService || !t.State.HoldsWorker() || !e.seen && !s.presumed(e) {
 			continue
 		}
 		w := s.worker(t.Worker)
@@ -54,6 +56,13 @@
 	return list
 }
 
+// presumed reports whether an inherited instance counts as running until its
+// worker had time to answer. Otherwise its endpoint would vanish with each
+// takeover and its slots would wait for the gain delay afterwards.
+func (s *Shard) presumed(e *entry) bool {
+	return s.settling() && e.sent && e.renewed.IsZero() && e.task.State == guavascale.TaskStarting
+}
+
 // Tasks returns the tasks that have not been handed over, with their reported
 // state, in the order of their IDs.
 func (s *Shard) Tasks() []guavascale.Task {
