--- /dev/null
+++ b/guavadaemon/recovery_test.go
@@ -0,0 +1,93 @@
+package guavadaemon
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
+	"guavascale.example/guavaconfig"
+	"guavascale.example/guavafake"
+)
+
+// startTestDaemon runs a daemon with short leases against a platform in memory.
+func startTestDaemon(t *testing.T, p *guavafake.Platform, name string, seeds ...string) *Daemon {
+	t.Helper()
+	local := guavaconfig.Listener{Listen: "127.0.0.1:0"}
+	settings := guavaconfig.Settings{Name: name, Zone: "Rennes", Platform: "127.0.0.1:1", SeedPeers: seeds, Gateway: local, Operator: local, Peer: local}
+	settings.Intervals = guavaconfig.Intervals{SessionRenewSeconds: 0.2, SessionTTLSeconds: 1, SessionMarginSeconds: 0.1, GossipSeconds: 0.1}
+	d := &Daemon{
+		Settings: settings.Defaults(), Log: zerolog.Nop(),
+		Platform: Platform{Table: &p.Table, Objects: &p.Objects, Hosts: &p.Fleet, Agent: &p.Fleet},
+	}
+	d.Prepare()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		d.Kill()
+		require.NoError(t, <-done)
+		cancel()
+	})
+	select {
+	case <-d.Ready():
+	case err := <-done:
+		require.NoError(t, err)
+	}
+	return d
+}
+
+func placedTasks(t *testing.T, d *Daemon) int {
+	t.Helper()
+	w, err := d.Work(context.Background())
+	require.NoError(t, err)
+	n := 0
+	for _, task := range w.Tasks {
+		if task.Class == guavascale.ClassBatch && task.State.HoldsWorker() {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against tasks that belong to nobody: the owner of a shard dies, and
+// the shard's workers may have left the host list in the meantime, so that the
+// other daemons never heard of the shard from it.
+func TestShardOfADeadDaemonIsTakenOver(t *testing.T) {
+	tests := map[string]struct{ workersLeave bool }{
+		"workers answer":                {},
+		"workers are off the host list": {workersLeave: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &guavafake.Platform{}
+			for _, id := range []guavascale.WorkerID{"w0", "w1"} {
+				p.Fleet.Add(guavascale.Worker{
+					ID: id, Zone: "Rennes", AgentAddress: "agent",
+					Capacity: guavascale.Resources{MilliCores: 8000, MemoryMB: 8192},
+				})
+			}
+			first := startTestDaemon(t, p, "first")
+			job := testJob("tally")
+			job.RunSeconds = 1000
+			svc := guavascale.Service{Name: "seats", Kind: "checkout", Team: "desk", Instances: 1, TargetMs: 50, Size: job.Size}
+			require.NoError(t, first.DeclareForDev(context.Background(), svc, job))
+			require.Eventually(t, func() bool { return placedTasks(t, first) == job.Tasks }, 20*time.Second, 50*time.Millisecond)
+			if tt.workersLeave {
+				require.NoError(t, p.Fleet.Kill("w0"))
+				require.NoError(t, p.Fleet.Kill("w1"))
+			}
+			first.Kill()
+			second := startTestDaemon(t, p, "second")
+			require.Eventually(t, func() bool { return placedTasks(t, second) == job.Tasks }, 20*time.Second, 50*time.Millisecond)
+			v := p.Fleet.Verdict()
+			require.Empty(t, v.Violations)
+			for id, n := range v.StartsByTask {
+				require.Equal(t, 1, n, id)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/guavashard/resume_test.go
@@ -0,0 +1,71 @@
+package guavashard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
+)
+
+// pause passes time in which the owner has no right to act, as in a store
+// outage; the workers go on.
+func (h *harness) pause(d time.Duration) { h.clock.now = h.clock.now.Add(d) }
+
+// Guards against work that is done again, and against needless starts, when the
+// owner acts again after an outage: it must hear the workers before it judges
+// their leases and their service instances.
+func TestOwnerActsAgainAfterAnOutage(t *testing.T) {
+	tests := map[string]struct {
+		outage time.Duration
+		starts int
+	}{
+		"shorter than the lease": {outage: 40 * time.Second, starts: 1},
+		"longer than the lease":  {outage: 100 * time.Second, starts: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1, 3)
+			h.declareSafely(testJob("tally", 4, 300))
+			h.view.Config.Services["seats"] = guavascale.Service{Name: "seats", Size: guavascale.Resources{MilliCores: 500, MemoryMB: 256}}
+			h.view.Instances["seats"] = 2
+			h.run(20 * time.Second)
+			h.pause(tt.outage)
+			h.run(20 * time.Second)
+			v := h.fleet.Verdict()
+			require.Zero(t, v.Unreported, "work that the workers had saved was done again")
+			require.Len(t, v.StartsByTask, 6, "no instance was added")
+			for id, n := range v.StartsByTask {
+				require.Equal(t, tt.starts, n, id)
+			}
+			h.requireNoViolations()
+		})
+	}
+}
+
+// Guards against a takeover that makes the shard's endpoints and capacity
+// vanish until its workers have answered.
+func TestSummaryDuringATakeover(t *testing.T) {
+	h := newHarness(t, 1, 3)
+	h.view.Config.Services["seats"] = guavascale.Service{Name: "seats", Size: guavascale.Resources{MilliCores: 500, MemoryMB: 256}}
+	h.view.Instances["seats"] = 2
+	h.run(5 * time.Second)
+	before := h.shard.Summary()
+	require.Len(t, before.Endpoints, 2)
+	h.takeOver()
+	effects := h.shard.Step(h.clock.now, &h.view)
+	after := h.shard.Summary()
+	require.Equal(t, before.Endpoints, after.Endpoints)
+	require.Equal(t, before.Capacity, after.Capacity)
+	require.True(t, after.Free.IsZero(), "a worker that has not answered offers no room")
+	h.cutOff(before.Endpoints[0].Worker, true)
+	h.perform(effects)
+	h.run(20 * time.Second)
+	endpoints := h.shard.Summary().Endpoints
+	for _, e := range endpoints {
+		require.NotEqual(t, before.Endpoints[0].Worker, e.Worker, "an instance that never answered is no endpoint")
+	}
+	require.Len(t, endpoints, 2)
+	h.requireNoViolations()
+}
