--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -46,7 +46,9 @@
 	ticked  time.Time
 	resumed time.Time
 	// ownerEpoch returns the epoch of a partition in the table.
-	ownerEpoch  func(guavascale.Partition) uint64
+	ownerEpoch func(guavascale.Partition) uint64
+	// leaving holds the daemons that shut down.
+	leaving     []string
 	sequence    uint64
 	publishNext time.Time
 	summaryNext time.Time
@@ -187,7 +189,8 @@
 }
 
 // setWorkers takes over a host list. A shard that the list does not name any
-// more stays wanted while its owner has tasks on it.
+// more stays wanted by all daemons, since it may hold tasks: when only its
+// owner wanted it, nobody took it after a release or the owner's death.
 func (c *control) setWorkers(workers []guavascale.Worker) {
 	c.workers = workers
 	c.byShard = make(map[guavascale.Partition][]guavascale.Worker)
@@ -205,9 +208,9 @@
 	for p := range c.byShard {
 		wanted = append(wanted, p)
 	}
-	for p, o := range c.shards {
-		if c.byShard[p] == nil {
-			c.shardZone[p] = o.zone
+	for _, p := range c.d.lease.Rights().Known() {
+		if !isClaim(p) && c.byShard[p] == nil {
+			c.shardZone[p] = zoneOf(p)
 			wanted = append(wanted, p)
 		}
 	}
