guavashard: renew leases at workers that answer only

Cause: the owner went on sending renewals to a silent worker, and each one extended the time after which the task may start elsewhere. Tasks of a worker that never returned resumed only when the shard changed its owner or the zone was drained. The existing test replaced the owner before the lease ended, so it never covered this.

--- a/guavashard/message.go
+++ b/guavashard/message.go
@@ -96,7 +96,10 @@
 		})
 		return
 	}
-	if !e.seen {
+	// A renewal may arrive although nothing is heard of the worker, so each one
+	// that is sent extends the time after which the task may start elsewhere.
+	// Sent to a worker that never returns they would extend it for ever.
+	if !e.seen || !s.responsive(w) {
 		return
 	}
 	if s.now.Sub(e.renewed) >= lease/4 {
--- a/guavashard/resume_test.go
+++ b/guavashard/resume_test.go
@@ -69,3 +69,30 @@
 	require.Len(t, endpoints, 2)
 	h.requireNoViolations()
 }
+
+// Guards against tasks that wait for ever for a worker that never returns: the
+// renewals that its owner sends in vain must not extend their leases.
+func TestTaskOfALostWorkerResumes(t *testing.T) {
+	tests := map[string]struct{ takeOver bool }{
+		"same owner": {},
+		"new owner":  {takeOver: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1, 2)
+			h.declareSafely(testJob("tally", 1, 300))
+			h.run(20 * time.Second)
+			lost := h.shard.Tasks()[0].Worker
+			h.cutOff(lost, true)
+			h.run(10 * time.Second)
+			if tt.takeOver {
+				h.takeOver()
+			}
+			// The lease is 60 s; right, order slack and margin add less than 30 s.
+			h.run(100 * time.Second)
+			require.Equal(t, 2, h.fleet.Verdict().StartsByTask["tally/0"])
+			require.NotEqual(t, lost, h.shard.Tasks()[0].Worker)
+			h.requireNoViolations()
+		})
+	}
+}
