--- a/cmd/guavabench/recovery_trials.go
+++ b/cmd/guavabench/recovery_trials.go
@@ -26,6 +26,7 @@
 	{name: "daemon cut off from the store", run: cutDaemon},
 	{name: "daemon dies", run: killDaemon},
 	{name: "rack fails", run: failRack},
+	{name: "rack fails for good (lease 20 s)", lease: zoneLease, run: loseRack},
 	{name: "zone fails (lease 20 s)", lease: zoneLease, run: failZone},
 }
 
@@ -86,11 +87,21 @@
 	return r.phase("connected again", 15*time.Second, nil, set(false))
 }
 
-func failRack(r *trialRun) error {
+func rackOfTrial() []guavascale.WorkerID {
 	var rack []guavascale.WorkerID
 	for i := range guavafake.RackSize {
 		rack = append(rack, guavascale.WorkerID(fmt.Sprintf("%s-%d", recoveryZones[0], i)))
 	}
+	return rack
+}
+
+func loseRack(r *trialRun) error {
+	rack := rackOfTrial()
+	return r.phase("failed", 55*time.Second, rack, r.act(rack, guavafake.ActionKill))
+}
+
+func failRack(r *trialRun) error {
+	rack := rackOfTrial()
 	if err := r.phase("failed", 20*time.Second, rack, r.act(rack, guavafake.ActionKill)); err != nil {
 		return err
 	}
--- a/guavalease/scan.go
+++ b/guavalease/scan.go
@@ -64,7 +64,7 @@
 	m.scannedOwners(now, r.Owners)
 	m.releaseSurplus(now)
 	m.deleteOrphan()
-	if m.expecting() {
+	if m.expecting() || m.suspecting() {
 		m.hurry(now)
 	}
 }
@@ -143,6 +143,17 @@
 	return false
 }
 
+// suspecting reports whether another daemon missed a renewal. Its partitions
+// may be taken within seconds, and a scan interval of 2 s would add as much.
+func (m *Machine) suspecting() bool {
+	for instance, o := range m.view.sessions {
+		if instance != m.session.instance && m.view.read.Sub(o.since) >= 2*m.cfg.RenewEvery {
+			return true
+		}
+	}
+	return false
+}
+
 // hurry brings the next scan forward. Each scan is two reads or more, so with
 // many daemons the interval grows to keep all of them at hurriedReads.
 func (m *Machine) hurry(now time.Time) {
