--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -32,7 +32,6 @@
 	instances     map[string]map[guavascale.Partition]int
 	instancesNext time.Time
 	others        []guavascale.PartitionSummary
-	sequence      uint64
 	publishNext   time.Time
 	summaryNext   time.Time
 }
--- a/guavadaemon/daemon.go
+++ b/guavadaemon/daemon.go
@@ -73,7 +73,8 @@
 		stopping   atomic.Bool
 		addresses  Addresses
 		ready      chan struct{}
-		newConfig  chan struct{}
+		// urgentNews wakes the gossip goroutine.
+		urgentNews chan struct{}
 	}
 
 	// Addresses are the addresses that a running daemon listens on.
@@ -173,13 +174,13 @@
 	d.started = d.clock.Now()
 	d.registry = metrics.NewRegistry()
 	d.mail = newMailbox()
-	d.newConfig = make(chan struct{}, 1)
+	d.urgentNews = make(chan struct{}, 1)
 	d.storePool = pond.NewPool(storeCalls)
 	d.workerPool = pond.NewPool(workerCalls)
 	d.peerPool = pond.NewPool(peerCalls)
 	iv := &d.Settings.Intervals
 	d.watcher = &guavaconfig.Watcher{
-		Table: d.Platform.Table, Clock: d.clock, Notify: d.newConfig,
+		Table: d.Platform.Table, Clock: d.clock, Notify: d.urgentNews,
 		Poll: guavaconfig.Seconds(iv.ConfigPollSeconds), Authority: guavaconfig.Seconds(iv.StartAuthoritySeconds),
 	}
 	d.writes = rate.NewLimiter(storeWrites, writeBurst)
--- a/guavadaemon/gossip.go
+++ b/guavadaemon/gossip.go
@@ -9,6 +9,7 @@
 	"guavascale.example"
 	"guavascale.example/guavaclaim"
 	"guavascale.example/guavaconfig"
+	"guavascale.example/guavapeer"
 )
 
 type (
@@ -20,8 +21,8 @@
 )
 
 const (
-	// gossipFanout is the number of peers of one round.
-	gossipFanout = 8
+	// minGossipInterval bounds the rounds that urgent news cause.
+	minGossipInterval = 200 * time.Millisecond
 	// seedInterval is the time between exchanges with a seed peer, which join
 	// parts of the system that lost sight of each other.
 	seedInterval = 10 * time.Second
@@ -29,8 +30,8 @@
 
 var _ guavaclaim.Remote = (*remoteClaims)(nil)
 
-// gossip exchanges summaries with peers in rounds, and at once when a newer
-// configuration was adopted.
+// gossip exchanges news with peers in rounds, and at once when a newer
+// configuration was adopted or something is leaving.
 func (d *Daemon) gossip(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	ticker := time.NewTicker(guavaconfig.Seconds(d.Settings.Intervals.GossipSeconds))
@@ -38,7 +39,10 @@
 	var seedsNext time.Time
 	for {
 		now := d.clock.Now()
-		targets := d.members.Targets(now, gossipFanout, rng)
+		if cfg, ok := d.watcher.Config(); ok {
+			d.members.SetConfig(cfg.Version)
+		}
+		targets := d.members.Targets(now, rng)
 		if len(d.Settings.SeedPeers) > 0 && (len(targets) == 0 || now.After(seedsNext)) {
 			seed := d.Settings.SeedPeers[rng.IntN(len(d.Settings.SeedPeers))]
 			if seed != d.addresses.Peer && !slices.Contains(targets, seed) {
@@ -53,43 +57,56 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-d.newConfig:
+		case <-d.urgentNews:
+			if !sleep(ctx, minGossipInterval-d.clock.Now().Sub(now)) {
+				return
+			}
 		}
 	}
 }
 
-func (d *Daemon) exchange(ctx context.Context, addr string) {
-	self := d.members.Self()
-	if self.Instance == "" {
-		return
+// sleep waits and reports whether ctx still goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
 	}
-	if cfg, ok := d.watcher.Config(); ok {
-		self.ConfigVersion = max(self.ConfigVersion, cfg.Version)
+}
+
+// spread starts a round of gossip without waiting for the next second.
+func (d *Daemon) spread() {
+	select {
+	case d.urgentNews <- struct{}{}:
+	default:
 	}
-	list, err := d.peers.Exchange(ctx, addr, self, d.members.Digest())
+}
+
+func (d *Daemon) exchange(ctx context.Context, addr string) {
+	met, err := d.peers.Exchange(ctx, addr, &d.members, d.clock)
 	if err != nil {
 		d.Log.Debug().Err(err).Str("peer", addr).Msg("peer: the exchange failed")
-		return
-	}
-	d.members.Merge(d.clock.Now(), list)
-	for _, s := range list {
-		d.adoptConfig(ctx, s)
 	}
+	d.heard(ctx, met)
 }
 
-// adoptConfig fetches a peer's configuration when it is newer. It does not
-// extend the right to start tasks, which only a read of the store does.
-func (d *Daemon) adoptConfig(ctx context.Context, s guavascale.Summary) {
-	cfg, ok := d.watcher.Config()
-	if ok && cfg.Version >= s.ConfigVersion {
+// heard follows up what an exchange told. A newer configuration is fetched from
+// the peer that has it; this does not extend the right to start tasks, which
+// only a read of the store does.
+func (d *Daemon) heard(ctx context.Context, met guavapeer.Met) {
+	if met.Urgent {
+		d.spread()
+	}
+	if cfg, _ := d.watcher.Config(); cfg.Version >= met.ConfigVersion || met.Address == "" {
 		return
 	}
-	next, err := d.peers.Config(ctx, s.PeerAddress)
+	next, err := d.peers.Config(ctx, met.Address)
 	if err != nil || next == nil {
 		return
 	}
 	if d.watcher.Accept(*next) {
-		d.Log.Info().Uint64("version", next.Version).Str("from", s.Daemon).Msg("config: adopted from a peer")
+		d.Log.Info().Uint64("version", next.Version).Str("from", met.Address).Msg("config: adopted from a peer")
 	}
 }
 
@@ -101,8 +118,8 @@
 	return &cfg
 }
 
-func (l *local) Heard(s guavascale.Summary) {
-	l.d.peerPool.Submit(func() { l.d.adoptConfig(context.Background(), s) })
+func (l *local) Heard(m guavapeer.Met) {
+	l.d.peerPool.Submit(func() { l.d.heard(context.Background(), m) })
 }
 
 func (l *local) Claims() guavascale.Claims { return l.d.claims.Local }
--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -12,9 +12,8 @@
 
 // publish gives the gateway a new snapshot and the peers a new summary.
 func (c *control) publish(now time.Time, cfg *guavascale.Config, preset guavascale.Preset) {
-	c.sequence++
 	self := guavascale.Summary{
-		Daemon: c.d.Settings.Name, Instance: c.d.instance(), Sequence: c.sequence,
+		Daemon: c.d.Settings.Name, Instance: c.d.instance(),
 		PeerAddress: c.d.addresses.Peer, GatewayAddress: c.d.addresses.Gateway,
 		OperatorAddress: c.d.addresses.Operator, Zone: c.d.Settings.Zone,
 		Leaving: c.d.stopping.Load(), ConfigVersion: cfg.Version,
@@ -24,7 +23,9 @@
 			self.Partitions = append(self.Partitions, o.shard.Summary())
 		}
 	}
-	c.d.members.SetSelf(self)
+	if c.d.members.SetSelf(now, self) {
+		c.d.spread()
+	}
 	s := &guavagateway.Snapshot{
 		Daemon: c.d.Settings.Name, Zone: c.d.Settings.Zone, Services: cfg.Services,
 		ZonesOut: cfg.ZonesOut, Preset: preset,
--- a/guavapeer/client.go
+++ b/guavapeer/client.go
@@ -26,11 +26,21 @@
 // DefaultTimeout is the timeout of a call between daemons.
 const DefaultTimeout = 2 * time.Second
 
-// Exchange sends the own summary and returns the newer ones of the peer.
-func (c *Client) Exchange(ctx context.Context, addr string, self guavascale.Summary, d Digest) ([]guavascale.Summary, error) {
-	var out exchangeOut
-	err := c.call(ctx, addr, methodExchange, exchangeIn{self, d}, &out)
-	return out.Summaries, err
+// Exchange exchanges news with a peer: first digests and what the peer knows
+// better, then what it asks for.
+func (c *Client) Exchange(ctx context.Context, addr string, m *Members, clock guavascale.Clock) (Met, error) {
+	var out answer
+	err := c.call(ctx, addr, methodExchange, m.ask(clock.Now()), &out)
+	if err != nil {
+		return Met{}, err
+	}
+	met := Met{Address: addr, ConfigVersion: out.Config}
+	wanted, urgent := m.finish(clock.Now(), &out)
+	met.Urgent = urgent
+	if len(wanted.Deltas) == 0 {
+		return met, nil
+	}
+	return met, c.call(ctx, addr, methodNews, wanted, &struct{}{})
 }
 
 // Config returns the peer's configuration document.
--- a/guavapeer/members.go
+++ b/guavapeer/members.go
@@ -12,21 +12,30 @@
 
 type (
 	// Members is what a daemon knows of the daemons of the system: the latest
-	// summary of each and when news of it came last. Its zero value is empty
-	// and ready for use. It is safe for concurrent use.
+	// parts of the summary of each and when its heartbeat last grew. Its zero
+	// value is empty and ready for use. It is safe for concurrent use.
 	Members struct {
-		mu    sync.Mutex
-		self  guavascale.Summary
-		peers map[string]*member
+		mu     sync.Mutex
+		self   *member
+		selfAt key
+		beatAt time.Time
+		// loadAt holds when the load of an own partition was last announced.
+		loadAt map[guavascale.Partition]time.Time
+		peers  map[key]*member
 	}
 
 	member struct {
-		summary guavascale.Summary
+		instance string
+		// beat is the heartbeat; it grows about once a second.
+		beat uint64
+		// version is that of the latest part. All older parts are held too.
+		version uint64
+		parts   map[partKey]part
+		config  uint64
 		heard   time.Time
+		// summary is assembled from the parts on demand; nil after a change.
+		summary *guavascale.Summary
 	}
-
-	// Digest maps instances of daemons to the sequence of the latest summary.
-	Digest map[string]uint64
 )
 
 const (
@@ -37,95 +46,49 @@
 	deadAfter = 5 * time.Second
 	// forgetAfter is the time after which a dead peer is dropped.
 	forgetAfter = 10 * time.Minute
+	// beatInterval is a little less than the 1 s between rounds, so that each
+	// round carries a new heartbeat.
+	beatInterval = 900 * time.Millisecond
+
+	maxFanout = 8
+	minFanout = 2
+	// fanoutEntries bounds the digest entries that a daemon sends per round,
+	// of about 10 bytes each.
+	fanoutEntries = 300
 )
 
-// SetSelf stores the daemon's own summary; its sequence must grow.
-func (m *Members) SetSelf(s guavascale.Summary) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.self = s
+// Fanout returns the number of peers of a round in a system of n daemons. The
+// digest grows with n, so a large system talks to fewer peers.
+func Fanout(n int) int {
+	return max(minFanout, min(maxFanout, fanoutEntries/max(n, 1)))
 }
 
-// Self returns the daemon's own summary.
+// Self returns the daemon's own summary as it was last announced.
 func (m *Members) Self() guavascale.Summary {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.self
-}
-
-// Merge takes over summaries that are newer than the known ones. Only a newer
-// summary counts as news of a peer, so that a stale one that peers pass around
-// does not keep a dead daemon alive.
-func (m *Members) Merge(now time.Time, list []guavascale.Summary) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, s := range list {
-		m.merge(now, s)
+	if m.self == nil {
+		return guavascale.Summary{}
 	}
-}
-
-func (m *Members) merge(now time.Time, s guavascale.Summary) {
-	if s.Instance == "" || s.Instance == m.self.Instance {
-		return
-	}
-	if m.peers == nil {
-		m.peers = make(map[string]*member)
-	}
-	p := m.peers[s.Instance]
-	if p == nil {
-		m.peers[s.Instance] = &member{summary: s, heard: now}
-		return
-	}
-	if s.Sequence > p.summary.Sequence {
-		p.summary, p.heard = s, now
-	}
-}
-
-// Digest returns the sequences of all known summaries.
-func (m *Members) Digest() Digest {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	d := make(Digest, len(m.peers)+1)
-	d[m.self.Instance] = m.self.Sequence
-	for id, p := range m.peers {
-		d[id] = p.summary.Sequence
-	}
-	return d
-}
-
-// Newer returns the summaries that are newer than a digest. Dead peers are
-// left out, so that all daemons forget them.
-func (m *Members) Newer(now time.Time, d Digest) []guavascale.Summary {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var list []guavascale.Summary
-	if m.self.Sequence > d[m.self.Instance] {
-		list = append(list, m.self)
-	}
-	for id, p := range m.peers {
-		if p.summary.Sequence > d[id] && now.Sub(p.heard) < deadAfter {
-			list = append(list, p.summary)
-		}
-	}
-	return list
+	return *m.self.assemble()
 }
 
 // Live returns the summaries of all daemons that are not dead, this one
-// included, ordered by daemon.
+// included, ordered by daemon. The content is shared and must not be changed.
 func (m *Members) Live(now time.Time) []guavascale.Summary {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	list := make([]guavascale.Summary, 0, len(m.peers)+1)
-	if m.self.Instance != "" {
-		list = append(list, m.self)
+	if m.self != nil {
+		list = append(list, *m.self.assemble())
 	}
-	for id, p := range m.peers {
+	for k, p := range m.peers {
 		if now.Sub(p.heard) > forgetAfter {
-			delete(m.peers, id)
+			delete(m.peers, k)
 			continue
 		}
-		if now.Sub(p.heard) < deadAfter {
-			list = append(list, p.summary)
+		if p.live(now) {
+			list = append(list, *p.assemble())
 		}
 	}
 	slices.SortFunc(list, func(a, b guavascale.Summary) int {
@@ -134,34 +97,41 @@
 	return list
 }
 
-// Targets returns the addresses of at most n peers to talk to: first those
-// under suspicion, which are probed that way, then random others.
-func (m *Members) Targets(now time.Time, n int, r *rand.Rand) []string {
+// Targets returns the addresses of the peers of a round: first those under
+// suspicion, which are probed that way, then random others.
+func (m *Members) Targets(now time.Time, r *rand.Rand) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var suspects, others []string
+	live := 1
 	for _, p := range m.peers {
-		silent := now.Sub(p.heard)
-		switch {
-		case silent > forgetAfter:
+		address := p.card().PeerAddress
+		if p.live(now) {
+			live++
+		}
+		switch silent := now.Sub(p.heard); {
+		case silent > forgetAfter, address == "":
 		case silent > suspectAfter:
-			suspects = append(suspects, p.summary.PeerAddress)
+			suspects = append(suspects, address)
 		default:
-			others = append(others, p.summary.PeerAddress)
+			others = append(others, address)
 		}
 	}
 	slices.Sort(suspects)
 	slices.Sort(others)
 	shuffle(suspects, r)
 	shuffle(others, r)
+	n := Fanout(live)
 	// Half of the calls go to healthy peers even when many are suspected.
-	if limit := (n + 1) / 2; len(suspects) > limit && len(others) > 0 {
+	if limit := n / 2; len(suspects) > limit && len(others) > 0 {
 		suspects = suspects[:limit]
 	}
 	list := append(suspects, others...)
 	return list[:min(n, len(list))]
 }
 
+func (p *member) live(now time.Time) bool { return now.Sub(p.heard) < deadAfter }
+
 func shuffle(list []string, r *rand.Rand) {
 	r.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
--- a/guavapeer/server.go
+++ b/guavapeer/server.go
@@ -1,14 +1,23 @@
 // Package guavapeer carries messages between daemons and keeps the list of
 // daemons.
 //
-// The model: every daemon runs a Server and a Client. Once a second it
-// exchanges summaries with a few peers (all of them in a small system); a
-// summary that is newer than the known one is taken over and passed on, so that
-// news reach all daemons in a few rounds. Members holds the result and tells
-// which daemons are live. A daemon is suspected after 3 s without news and then
-// probed by the next exchanges; it counts as dead after 5 s. This list decides
-// on routing only. Ownership is decided in the store, so a wrong suspicion
-// moves nothing.
+// The model: every daemon announces a summary of itself. The summary consists of
+// a heartbeat, a card, and for each owned partition its load and its endpoints
+// in chunks. Each part carries the version at which it last changed, so a peer
+// that holds the summary up to a version lacks exactly the parts with a higher
+// one. Members holds the parts of all daemons, decides what to send, and does no
+// I/O.
+//
+// Once a second a daemon exchanges news with a few peers (Fanout). It sends a
+// digest of 10 bytes for each live daemon: heartbeat and version. The peer
+// answers with the heartbeats and parts that it knows better and with a list of
+// what it lacks, which the caller sends in a second call. Heartbeats count from
+// the digests of both sides. News that something is leaving start a round at
+// once on every daemon that they reach, as a newer configuration does.
+//
+// A daemon is suspected after 3 s without a new heartbeat and then probed by the
+// next exchanges; it counts as dead after 5 s. This list decides on routing
+// only. Ownership is decided in the store, so a wrong suspicion moves nothing.
 //
 // Messages travel as net/rpc calls that take and return one byte slice, which
 // holds a CBOR envelope. net/rpc itself knows neither deadlines nor
@@ -35,8 +44,8 @@
 	Local interface {
 		// Config returns the newest document that the daemon knows.
 		Config() *guavascale.Config
-		// Heard is called after an exchange with a peer.
-		Heard(s guavascale.Summary)
+		// Heard is called after a message of a peer. It must not block.
+		Heard(m Met)
 		// Work returns the content of the owned shards.
 		Work(ctx context.Context) (guavascale.Work, error)
 		// Claims serves the claim partitions that the daemon owns.
@@ -55,6 +64,17 @@
 		closed bool
 	}
 
+	// Met tells of an exchange with a peer.
+	Met struct {
+		// Address is the peer's address and ConfigVersion its configuration;
+		// both are zero when the peer only sent news.
+		Address       string
+		ConfigVersion uint64
+		// Urgent is set when the peer told that an endpoint or a daemon is
+		// leaving.
+		Urgent bool
+	}
+
 	// service is what net/rpc sees; its exported method is the wire protocol.
 	service struct{ s *Server }
 )
@@ -141,6 +161,8 @@
 	switch env.Method {
 	case methodExchange:
 		return s.exchange(env.Body)
+	case methodNews:
+		return s.news(env.Body)
 	case methodConfig:
 		return configOut{Config: s.Local.Config()}, nil
 	case methodClaim, methodFinish, methodRelease:
@@ -154,14 +176,24 @@
 }
 
 func (s *Server) exchange(body []byte) (any, error) {
-	var in exchangeIn
+	var in ask
 	if err := cbor.Unmarshal(body, &in); err != nil {
 		return nil, fmt.Errorf("decode exchange: %w", err)
 	}
-	now := s.Clock.Now()
-	s.Members.Merge(now, []guavascale.Summary{in.Self})
-	s.Local.Heard(in.Self)
-	return exchangeOut{Summaries: s.Members.Newer(now, in.Digest)}, nil
+	out := s.Members.answer(s.Clock.Now(), &in)
+	s.Local.Heard(Met{Address: in.Address, ConfigVersion: in.Config})
+	return out, nil
+}
+
+func (s *Server) news(body []byte) (any, error) {
+	var in news
+	if err := cbor.Unmarshal(body, &in); err != nil {
+		return nil, fmt.Errorf("decode news: %w", err)
+	}
+	if s.Members.merge(s.Clock.Now(), in.Deltas) {
+		s.Local.Heard(Met{Urgent: true})
+	}
+	return struct{}{}, nil
 }
 
 func (s *Server) claim(ctx context.Context, env *envelope) (any, error) {
--- a/guavapeer/wire.go
+++ b/guavapeer/wire.go
@@ -41,15 +41,6 @@
 		MayHaveApplied bool
 	}
 
-	exchangeIn struct {
-		Self   guavascale.Summary
-		Digest Digest
-	}
-
-	exchangeOut struct {
-		Summaries []guavascale.Summary
-	}
-
 	configOut struct {
 		Config *guavascale.Config
 	}
@@ -71,6 +62,7 @@
 
 const (
 	methodExchange method = "Exchange"
+	methodNews     method = "News"
 	methodConfig   method = "Config"
 	methodClaim    method = "Claim"
 	methodFinish   method = "Finish"
