--- /dev/null
+++ b/cmd/guavabench/capacity_daemon.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"os"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"guavascale.example"
+	"guavascale.example/guavaconfig"
+	"guavascale.example/guavadaemon"
+	"guavascale.example/guavastore"
+)
+
+// capacityDaemonCmd is the measured daemon. It measures itself after a line on
+// standard input, so that its processor time holds nothing of the platform's.
+type capacityDaemonCmd struct {
+	Name    string  `required:"" help:"Name of the daemon."`
+	Table   string  `required:"" help:"Address of the table."`
+	Hosts   string  `required:"" help:"Address of the host list."`
+	Seeds   string  `help:"Address of a peer."`
+	Workers int     `required:"" help:"Workers to give work to."`
+	Seconds float64 `default:"10" help:"Length of the measurement."`
+}
+
+const (
+	batchPerWorker    = 10
+	instancePerWorker = 2
+)
+
+// Run starts the daemon, waits for the line and prints a sample as JSON.
+func (c *capacityDaemonCmd) Run() error {
+	s := guavaconfig.Settings{
+		Name: c.Name, Zone: capacityZone, Platform: c.Table, RacksPerShard: 8,
+		Gateway: guavaconfig.Listener{Listen: "127.0.0.1:0"}, Operator: guavaconfig.Listener{Listen: "127.0.0.1:0"},
+		Peer:        guavaconfig.Listener{Listen: "127.0.0.1:0"},
+		Credentials: []guavaconfig.Credential{{Name: "bench", Token: "bench-token-of-this-process"}},
+	}
+	if c.Seeds != "" {
+		s.SeedPeers = []string{c.Seeds}
+	}
+	s = s.Defaults()
+	if err := s.Validate(); err != nil {
+		return err
+	}
+	d := &guavadaemon.Daemon{
+		Settings: s, Log: zerolog.New(os.Stderr).Level(zerolog.ErrorLevel),
+		Platform: guavadaemon.Platform{
+			Table: &guavastore.Table{Address: c.Table}, Objects: &guavastore.Objects{Address: c.Table},
+			Hosts: &guavastore.HostList{Address: c.Hosts}, Agent: &guavastore.Agent{},
+		},
+	}
+	d.Prepare()
+	failed := make(chan error, 1)
+	go func() { failed <- d.Run(context.Background()) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-d.Ready():
+	}
+	size := guavascale.Resources{MilliCores: 1000, MemoryMB: 512}
+	if err := d.DeclareForDev(context.Background(), guavascale.Service{
+		Name: "seats", Kind: "checkout", Team: "desk", Instances: instancePerWorker * c.Workers, Size: size, TargetMs: 50,
+	}, guavascale.Job{ID: "packs", Team: "audit", Kind: "audit-pack", Tasks: batchPerWorker * c.Workers, Size: size, RunSeconds: 1e6}); err != nil {
+		return err
+	}
+	if _, err := bufio.NewReader(os.Stdin).ReadString('\n'); err != nil {
+		return err
+	}
+	before := cpuSeconds()
+	time.Sleep(time.Duration(c.Seconds * float64(time.Second)))
+	got := sample{CPU: (cpuSeconds() - before) / c.Seconds, MaxRSSMB: maxRSSMB()}
+	runtime.GC()
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	got.HeapMB = float64(mem.HeapAlloc) / (1 << 20)
+	return json.NewEncoder(os.Stdout).Encode(got)
+}
+
+func cpuSeconds() float64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()).Seconds()
+}
+
+func maxRSSMB() float64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return float64(u.Maxrss) / 1024
+}
--- a/cmd/guavabench/main.go
+++ b/cmd/guavabench/main.go
@@ -9,7 +9,9 @@
 import "github.com/alecthomas/kong"
 
 type cli struct {
-	Routing routingCmd `cmd:"" help:"Compare routing policies in a queueing model and measure the gateway's own cost."`
+	Capacity       capacityCmd       `cmd:"" help:"Measure the control cost of one daemon over workers, fleet size and peers."`
+	CapacityDaemon capacityDaemonCmd `cmd:"" hidden:"" help:"The measured daemon of capacity."`
+	Routing        routingCmd        `cmd:"" help:"Compare routing policies in a queueing model and measure the gateway's own cost."`
 }
 
 func main() {
