guavastore, guavafake, guavadaemon: send only changes of the host list

A daemon read the whole list every 2 s, about 180 bytes a worker, and walked it twice a second for the services and five times for the gateway. The answer now holds what changed since the list that the client names; the client returns the same slice while nothing changed, and the daemon then skips it. Capacity per shard and the leaving workers are kept from the list.

Reading less often was ruled out: 4 KB/s would allow one read in 13 minutes, and leaving workers must be seen within seconds. Without the check of the history TestHostListFollowsChanges fails.

--- a/cmd/guavabench/capacity_daemon.go
+++ b/cmd/guavabench/capacity_daemon.go
@@ -24,12 +24,14 @@
 	Table   string  `required:"" help:"Address of the table."`
 	Hosts   string  `required:"" help:"Address of the host list."`
 	Seeds   string  `help:"Address of a peer."`
-	Workers int     `required:"" help:"Workers to give work to."`
+	Workers int     `required:"" help:"Workers to give batch work to."`
+	Fleet   int     `help:"Workers of others, which take their part of the service."`
 	Seconds float64 `default:"10" help:"Length of the measurement."`
 }
 
 const (
 	batchPerWorker    = 10
+	batchMilliCores   = 1000
 	instancePerWorker = 2
 )
 
@@ -63,9 +65,9 @@
 		return err
 	case <-d.Ready():
 	}
-	size := guavascale.Resources{MilliCores: 1000, MemoryMB: 512}
+	size := guavascale.Resources{MilliCores: batchMilliCores, MemoryMB: 512}
 	if err := d.DeclareForDev(context.Background(), guavascale.Service{
-		Name: "seats", Kind: "checkout", Team: "desk", Instances: instancePerWorker * c.Workers, Size: size, TargetMs: 50,
+		Name: "seats", Kind: "checkout", Team: "desk", Instances: instancePerWorker * (c.Workers + c.Fleet), Size: size, TargetMs: 50,
 	}, guavascale.Job{ID: "packs", Team: "audit", Kind: "audit-pack", Tasks: batchPerWorker * c.Workers, Size: size, RunSeconds: 1e6}); err != nil {
 		return err
 	}
--- a/cmd/guavabench/capacity_peers.go
+++ b/cmd/guavabench/capacity_peers.go
@@ -13,7 +13,8 @@
 )
 
 // lightPeer is another daemon that only gossips: it announces one shard of 64
-// workers whose free capacity changes each second.
+// workers whose free capacity changes each second and fits no task, so that the
+// measured daemon keeps its work.
 type lightPeer struct {
 	countedListener
 	members guavapeer.Members
@@ -40,7 +41,7 @@
 		p.Listener = ln
 		name := "peer-" + strconv.Itoa(i)
 		p.summary = guavascale.Summary{
-			Daemon: name, Instance: name + "-20260101T000000.000000000", Zone: capacityZone,
+			Daemon: name, Instance: name + "-20260101T000000.000000000", Zone: peerZone,
 			PeerAddress: ln.Addr().String(), GatewayAddress: "127.0.0.1:1", OperatorAddress: "127.0.0.1:1",
 			Partitions: []guavascale.PartitionSummary{peerShard(i)},
 		}
@@ -59,7 +60,7 @@
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		p.summary.Partitions[0].Free.MilliCores = rng.Int64N(32_000)
+		p.summary.Partitions[0].Free.MilliCores = rng.Int64N(batchMilliCores)
 		p.members.SetSelf(time.Now(), p.summary)
 		targets := p.members.Targets(time.Now(), rng)
 		if len(targets) == 0 && seed != p.summary.PeerAddress {
@@ -76,8 +77,8 @@
 func peerShard(n int) guavascale.PartitionSummary {
 	size := guavascale.Resources{MilliCores: 2_048_000, MemoryMB: 8_000_000, Accelerators: 64}
 	p := guavascale.PartitionSummary{
-		Partition: guavascale.Partition("Shard-Brest-" + strconv.Itoa(n)), Epoch: 1, Zone: "Brest",
-		Capacity: size, Free: size, Total: size, TeamUse: make(map[string]guavascale.Resources),
+		Partition: guavascale.Partition("Shard-Brest-" + strconv.Itoa(n)), Epoch: 1, Zone: peerZone,
+		Capacity: size, TeamUse: make(map[string]guavascale.Resources),
 	}
 	for t := range 10 {
 		p.TeamUse["team-"+strconv.Itoa(t)] = size
@@ -85,7 +86,7 @@
 	for e := range 50 {
 		p.Endpoints = append(p.Endpoints, guavascale.Endpoint{
 			Service: "licence-check", Task: guavascale.TaskID(fmt.Sprintf("licence-check/%s/%d", p.Partition, e)),
-			Worker: guavascale.WorkerID(fmt.Sprintf("Brest-%d-%d", n, e)), Zone: "Brest", Address: "10.0.12.34:31234",
+			Worker: guavascale.WorkerID(fmt.Sprintf("Brest-%d-%d", n, e)), Zone: peerZone, Address: "10.0.12.34:31234",
 			Slots: 8, Connections: 60,
 		})
 	}
--- a/cmd/guavabench/capacity_platform.go
+++ b/cmd/guavabench/capacity_platform.go
@@ -47,6 +47,7 @@
 
 const (
 	capacityZone = guavascale.Zone("Rennes")
+	peerZone     = guavascale.Zone("Brest")
 	// otherDaemon owns the shards and claims that are not measured.
 	otherDaemon   = "other"
 	settleTimeout = 90 * time.Second
@@ -96,7 +97,8 @@
 	defer s.close()
 	args := []string{
 		"capacity-daemon", "--name", measuredName(p), "--table", s.table.Addr().String(), "--hosts", s.hosts.Addr().String(),
-		"--workers", strconv.Itoa(p.owned), "--seconds", fmt.Sprint(c.Seconds),
+		"--workers", strconv.Itoa(p.owned),
+		"--fleet", strconv.Itoa(p.fleet), "--seconds", fmt.Sprint(c.Seconds),
 	}
 	if len(s.peers) > 0 {
 		args = append(args, "--seeds", s.peers[0].Addr().String())
@@ -240,6 +242,8 @@
 	preset := doc.Presets[doc.Preset]
 	preset.StartsPerSecond = 1000
 	doc.Presets[doc.Preset] = preset
+	// No job gets a home in a shard of the peers, which run nothing.
+	doc.ZonesOut[peerZone] = true
 	value, err := guavaconfig.EncodeConfig(doc)
 	if err != nil {
 		return err
--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -25,9 +25,15 @@
 	workers   []guavascale.Worker
 	byShard   map[guavascale.Partition][]guavascale.Worker
 	shardZone map[guavascale.Partition]guavascale.Zone
+	// shardCores is the capacity of a shard's workers that are not leaving.
+	shardCores map[guavascale.Partition]int64
+	// leaving holds the workers that the host list calls leaving.
+	leaving   map[guavascale.WorkerID]bool
 	largest   []guavascale.Resources
 	hostsBusy bool
 	hostsNext time.Time
+	// hostsTaken is when the host list was last taken over.
+	hostsTaken time.Time
 	// instances is the division of each service over the shards.
 	instances     map[string]map[guavascale.Partition]int
 	instancesNext time.Time
@@ -40,6 +46,9 @@
 	tickInterval = 100 * time.Millisecond
 	// hostInterval is the time between reads of the host list.
 	hostInterval = 2 * time.Second
+	// hostRetake is the time after which an unchanged host list is taken over
+	// all the same, since the wanted partitions also depend on the owned ones.
+	hostRetake = 10 * time.Second
 	// divideInterval is the time between divisions of service instances.
 	divideInterval = 500 * time.Millisecond
 	// publishInterval is the time between gateway snapshots.
@@ -157,22 +166,38 @@
 				c.d.Log.Debug().Err(err).Msg("hosts: the host list does not answer; the last one stays in use")
 				return
 			}
-			c.setWorkers(workers)
+			if !sameList(workers, c.workers) || c.hostsNext.Sub(c.hostsTaken) > hostRetake {
+				c.hostsTaken = c.hostsNext
+				c.setWorkers(workers)
+			}
 		})
 	})
 }
 
+// sameList reports whether two lists are the same slice. The client of the
+// host list returns the last one again while nothing changed.
+func sameList(a, b []guavascale.Worker) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
 // setWorkers takes over a host list. A shard that the list does not name any
 // more stays wanted while its owner has tasks on it.
 func (c *control) setWorkers(workers []guavascale.Worker) {
 	c.workers = workers
 	c.byShard = make(map[guavascale.Partition][]guavascale.Worker)
 	c.shardZone = make(map[guavascale.Partition]guavascale.Zone)
+	c.shardCores = make(map[guavascale.Partition]int64)
+	c.leaving = make(map[guavascale.WorkerID]bool)
 	c.largest = c.largest[:0]
 	for _, w := range workers {
 		p := guavascale.ShardOf(w, c.d.Settings.RacksPerShard)
 		c.byShard[p] = append(c.byShard[p], w)
 		c.shardZone[p] = w.Zone
+		if w.Leaving {
+			c.leaving[w.ID] = true
+		} else {
+			c.shardCores[p] += w.Capacity.MilliCores
+		}
 		if !slices.Contains(c.largest, w.Capacity) {
 			c.largest = append(c.largest, w.Capacity)
 		}
@@ -223,16 +248,11 @@
 		}
 	}
 	var capacity, all []guavaplace.ShardCapacity
-	for p, workers := range c.byShard {
+	for p := range c.byShard {
 		if cfg.ZonesOut[c.shardZone[p]] {
 			continue
 		}
-		s := guavaplace.ShardCapacity{Shard: p, Zone: c.shardZone[p]}
-		for _, w := range workers {
-			if !w.Leaving {
-				s.MilliCores += w.Capacity.MilliCores
-			}
-		}
+		s := guavaplace.ShardCapacity{Shard: p, Zone: c.shardZone[p], MilliCores: c.shardCores[p]}
 		all = append(all, s)
 		if !dead[p] {
 			capacity = append(capacity, s)
--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -35,13 +35,9 @@
 		s.Daemons = append(s.Daemons, m.Daemon)
 	}
 	c.d.writes.SetLimit(rate.Limit(storeWrites) / rate.Limit(max(len(s.Daemons), 1)))
-	leaving := make(map[guavascale.WorkerID]bool)
-	for _, w := range c.workers {
-		leaving[w.ID] = w.Leaving
-	}
 	for i := range c.others {
 		for _, e := range c.others[i].Endpoints {
-			e.Leaving = e.Leaving || leaving[e.Worker]
+			e.Leaving = e.Leaving || c.leaving[e.Worker]
 			s.Endpoints = append(s.Endpoints, e)
 		}
 	}
--- a/guavafake/handler.go
+++ b/guavafake/handler.go
@@ -38,10 +38,6 @@
 		Data []byte
 	}
 
-	workersResponse struct {
-		Workers []guavascale.Worker
-	}
-
 	emptyMessage struct{}
 
 	// errorResponse holds the one error that is set.
@@ -136,9 +132,12 @@
 }
 
 func (p *Platform) serveHosts(ctx *fasthttp.RequestCtx) {
-	serve(ctx, func(emptyMessage) (workersResponse, error) {
+	serve(ctx, func(q hostsRequest) (hostsResponse, error) {
 		list, err := p.Fleet.Workers(ctx)
-		return workersResponse{Workers: list}, err
+		if err != nil {
+			return hostsResponse{}, err
+		}
+		return p.hosts.answer(q, list), nil
 	})
 }
 
--- a/guavafake/platform.go
+++ b/guavafake/platform.go
@@ -20,6 +20,7 @@
 		Fleet     Fleet
 		Endpoints Endpoints
 
+		hosts   hostHistory
 		server  *fasthttp.Server
 		address string
 	}
--- a/guavastore/guavastore.go
+++ b/guavastore/guavastore.go
@@ -53,6 +53,7 @@
 		Timeout time.Duration
 
 		caller caller
+		cache  hostCache
 	}
 
 	// Agent is a client of all worker agents. Its zero value works; it must
@@ -91,10 +92,6 @@
 		Data []byte
 	}
 
-	workersResponse struct {
-		Workers []guavascale.Worker
-	}
-
 	emptyMessage struct{}
 )
 
@@ -163,14 +160,6 @@
 	return o.caller.do(ctx, c, q, a)
 }
 
-// Workers returns all workers of the list.
-func (h *HostList) Workers(ctx context.Context) ([]guavascale.Worker, error) {
-	var a workersResponse
-	c := call{system: systemHosts, op: "Workers", address: h.Address, path: "/hosts", timeout: h.Timeout}
-	err := h.caller.do(ctx, c, emptyMessage{}, &a)
-	return a.Workers, err
-}
-
 // Send delivers orders to the agent at the worker's AgentAddress.
 func (g *Agent) Send(ctx context.Context, w guavascale.Worker, o guavascale.Orders) (guavascale.Report, error) {
 	var report guavascale.Report
