--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Modules of the workspace that hold product code.
 MODULES := . cmd/guavabench cmd/guavactl cmd/guavademo cmd/guavaplatform cmd/guavascaled
 
-.PHONY: build test fmt fmt-check lint spec demo bench
+.PHONY: build test fmt fmt-check lint spec demo bench capacity
 
 build:
 	@mkdir -p bin
@@ -30,3 +30,7 @@
 
 bench: build
 	bin/guavabench
+
+capacity: build
+	bin/guavabench capacity --commit $$(git rev-parse --short HEAD)
+	go test ./guavapeer -run '^$$' -bench 'Gossip|Spread' -benchtime 5x
--- a/cmd/guavabench/capacity_daemon.go
+++ b/cmd/guavabench/capacity_daemon.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"os"
 	"runtime"
+	"runtime/debug"
+	"runtime/pprof"
 	"syscall"
 	"time"
 
@@ -27,16 +29,20 @@
 	Workers int     `required:"" help:"Workers to give batch work to."`
 	Fleet   int     `help:"Workers of others, which take their part of the service."`
 	Seconds float64 `default:"10" help:"Length of the measurement."`
+	Profile string  `env:"GUAVABENCH_PROFILE" help:"File for a profile of the processor time."`
 }
 
 const (
 	batchPerWorker    = 10
 	batchMilliCores   = 1000
 	instancePerWorker = 2
+	// memoryLimit is that of guavascaled.
+	memoryLimit = 112 << 20
 )
 
 // Run starts the daemon, waits for the line and prints a sample as JSON.
 func (c *capacityDaemonCmd) Run() error {
+	debug.SetMemoryLimit(memoryLimit)
 	s := guavaconfig.Settings{
 		Name: c.Name, Zone: capacityZone, Platform: c.Table, RacksPerShard: 8,
 		Gateway: guavaconfig.Listener{Listen: "127.0.0.1:0"}, Operator: guavaconfig.Listener{Listen: "127.0.0.1:0"},
@@ -74,6 +80,17 @@
 	if _, err := bufio.NewReader(os.Stdin).ReadString('\n'); err != nil {
 		return err
 	}
+	if c.Profile != "" {
+		f, err := os.Create(c.Profile)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }()
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
 	before := cpuSeconds()
 	time.Sleep(time.Duration(c.Seconds * float64(time.Second)))
 	got := sample{CPU: (cpuSeconds() - before) / c.Seconds, MaxRSSMB: maxRSSMB()}
--- a/cmd/guavascaled/main.go
+++ b/cmd/guavascaled/main.go
@@ -42,7 +42,11 @@
 // version is the release that the code belongs to.
 const version = "0.1.0"
 
-const dumpTimeout = 5 * time.Second
+const (
+	dumpTimeout = 5 * time.Second
+	// memoryLimit makes the garbage collector keep a daemon within 128 MB.
+	memoryLimit = 112 << 20
+)
 
 func main() {
 	var c cli
@@ -56,6 +60,7 @@
 
 // Run runs the daemon until a signal ends it.
 func (c *serveCmd) Run() error {
+	debug.SetMemoryLimit(memoryLimit)
 	s, err := guavaconfig.ReadSettings(c.Config)
 	if err != nil {
 		return err
--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -10,6 +10,7 @@
 	"guavascale.example"
 	"guavascale.example/guavaclaim"
 	"guavascale.example/guavaconfig"
+	"guavascale.example/guavagateway"
 	"guavascale.example/guavalease"
 	"guavascale.example/guavaplace"
 	"guavascale.example/guavashard"
@@ -39,7 +40,11 @@
 	instancesNext time.Time
 	others        []guavascale.PartitionSummary
 	publishNext   time.Time
-	summaryNext   time.Time
+	// published is the last snapshot that the gateway got. An unchanged one is
+	// not set again, since the gateway's work grows with all endpoints.
+	published       *guavagateway.Snapshot
+	publishedConfig uint64
+	summaryNext     time.Time
 }
 
 const (
--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -1,6 +1,7 @@
 package guavadaemon
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -41,7 +42,11 @@
 			s.Endpoints = append(s.Endpoints, e)
 		}
 	}
-	c.d.gateway.Set(s)
+	if c.published == nil || c.publishedConfig != cfg.Version ||
+		!slices.Equal(c.published.Daemons, s.Daemons) || !slices.Equal(c.published.Endpoints, s.Endpoints) {
+		c.d.gateway.Set(s)
+		c.published, c.publishedConfig = s, cfg.Version
+	}
 }
 
 // instance names this run of the daemon towards peers.
--- a/guavapeer/exchange.go
+++ b/guavapeer/exchange.go
@@ -62,8 +62,9 @@
 	keyBytes = 5
 	keyMask  = 1<<(8*keyBytes) - 1
 	// maxParts bounds the parts of a message, which are up to about 1 KB each;
-	// the rest follows with the next exchanges.
-	maxParts = 512
+	// the rest follows with the next exchanges. With 512 the messages of a
+	// start of 200 daemons at once took a daemon to 626 MB.
+	maxParts = 256
 )
 
 func keyOf(instance string) key { return key(xxhash.Sum64String(instance) & keyMask) }
--- a/guavaroute/guavaroute_test.go
+++ b/guavaroute/guavaroute_test.go
@@ -251,3 +251,28 @@
 	e, _ := r.Submit(now, Ticket{ID: 9, Service: "svc", Deadline: now.Add(time.Second)})
 	require.Equal(t, Queued, e.Verdict)
 }
+
+// Guards against shares that are kept although the daemons or the limits of a
+// worker changed, and against a place that differs from the ranking.
+func TestUpdateFollowsDaemonsAndLimits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var r Router
+	for i, step := range []struct {
+		daemons []string
+		slots   int
+	}{
+		{[]string{"a"}, 8},
+		{[]string{"a", "b"}, 8},
+		{[]string{"a", "b", "c"}, 4},
+		{[]string{"a", "b", "c"}, 2},
+		{[]string{"b", "c"}, 2},
+		{[]string{"a"}, 3},
+	} {
+		e := guavascale.Endpoint{Service: "s", Task: "s/0", Worker: "w", Address: "e", Slots: step.slots, Connections: 60}
+		r.Update(now, View{Daemon: "a", Daemons: step.daemons, Endpoints: []guavascale.Endpoint{e}})
+		want := Share("w", "a", step.daemons, step.slots, 60)
+		require.Equal(t, want.Slots, r.workers["w"].slots.target(), "step %d", i)
+		require.Equal(t, want.Connections, r.workers["w"].connections.target(), "step %d", i)
+		require.Equal(t, slices.Index(Rank("w", step.daemons), "a"), placeOf("w", "a", step.daemons), "step %d", i)
+	}
+}
--- a/guavaroute/router.go
+++ b/guavaroute/router.go
@@ -37,6 +37,9 @@
 		slots       ramp
 		connections ramp
 		inUse       int
+		// limits are those of the worker itself that slots and connections
+		// were computed from.
+		limits Allotment
 		// services are those with an endpoint on the worker.
 		services []string
 	}
@@ -63,14 +66,17 @@
 // or whose zone is out get no request from then on; requests in progress there
 // go on. The events decide on waiting tickets.
 func (r *Router) Update(now time.Time, v View) []Event {
+	sameDaemons := v.Daemon == r.view.Daemon && slices.Equal(v.Daemons, r.view.Daemons)
 	r.view = v
 	r.Budget.Ratio = retryRatio(v.Preset)
-	r.updateWorkers(now, v)
+	r.updateWorkers(now, v, sameDaemons)
 	r.updateEndpoints(v)
 	return r.Tick(now)
 }
 
-func (r *Router) updateWorkers(now time.Time, v View) {
+// updateWorkers takes over the workers of the endpoints. The shares of a worker
+// are computed again only when the daemons or its limits changed.
+func (r *Router) updateWorkers(now time.Time, v View, sameDaemons bool) {
 	old := r.workers
 	r.workers = make(map[guavascale.WorkerID]*workerState, len(old))
 	for _, e := range v.Endpoints {
@@ -82,9 +88,13 @@
 			}
 			w.services = nil
 			r.workers[e.Worker] = w
-			a := Share(e.Worker, v.Daemon, v.Daemons, e.Slots, e.Connections)
-			w.slots.set(now, a.Slots)
-			w.connections.set(now, a.Connections)
+			limits := Allotment{e.Slots, e.Connections}
+			if !sameDaemons || w.limits != limits {
+				a := Share(e.Worker, v.Daemon, v.Daemons, e.Slots, e.Connections)
+				w.slots.set(now, a.Slots)
+				w.connections.set(now, a.Connections)
+				w.limits = limits
+			}
 		}
 		if !slices.Contains(w.services, e.Service) {
 			w.services = append(w.services, e.Service)
@@ -96,6 +106,7 @@
 		if r.workers[id] == nil && w.inUse > 0 {
 			w.slots.set(now, 0)
 			w.connections.set(now, 0)
+			w.limits = Allotment{}
 			w.services = nil
 			r.workers[id] = w
 		}
@@ -106,6 +117,11 @@
 	oldEndpoints, oldServices := r.endpoints, r.services
 	r.endpoints = make(map[guavascale.TaskID]*endpointState, len(v.Endpoints))
 	r.services = make(map[string]*serviceState, len(oldServices))
+	type pair struct {
+		service *serviceState
+		worker  *workerState
+	}
+	listed := make(map[pair]bool)
 	for _, e := range v.Endpoints {
 		s := r.service(e.Service, oldServices)
 		if e.Leaving || v.ZonesOut[e.Zone] {
@@ -118,7 +134,8 @@
 		es.endpoint, es.service, es.worker = e, s, r.workers[e.Worker]
 		r.endpoints[e.Task] = es
 		s.endpoints = append(s.endpoints, es)
-		if !slices.Contains(s.workers, es.worker) {
+		if at := (pair{s, es.worker}); !listed[at] {
+			listed[at] = true
 			s.workers = append(s.workers, es.worker)
 		}
 	}
--- a/guavaroute/share.go
+++ b/guavaroute/share.go
@@ -41,7 +41,7 @@
 func Rank(worker guavascale.WorkerID, daemons []string) []string {
 	rs := make([]ranked, 0, len(daemons))
 	for _, d := range daemons {
-		rs = append(rs, ranked{d, xxhash.Sum64String(string(worker) + "\x00" + d)})
+		rs = append(rs, ranked{d, weigh(worker, d)})
 	}
 	slices.SortFunc(rs, func(a, b ranked) int {
 		if a.weight != b.weight {
@@ -68,7 +68,7 @@
 // connections to at most connections unless there are fewer of them than
 // holders. A daemon that is not listed holds nothing.
 func Share(worker guavascale.WorkerID, daemon string, daemons []string, slots, connections int) Allotment {
-	place := slices.Index(Rank(worker, daemons), daemon)
+	place := placeOf(worker, daemon, daemons)
 	n := len(daemons)
 	if place < 0 || place >= slots {
 		return Allotment{}
@@ -80,6 +80,31 @@
 	return Allotment{Slots: own, Connections: max(1, connections/min(n, slots))}
 }
 
+// placeOf returns the index of a daemon in Rank, or -1, without sorting.
+func placeOf(worker guavascale.WorkerID, daemon string, daemons []string) int {
+	if !slices.Contains(daemons, daemon) {
+		return -1
+	}
+	own := weigh(worker, daemon)
+	place := 0
+	for _, d := range daemons {
+		if w := weigh(worker, d); w > own || w == own && d < daemon {
+			place++
+		}
+	}
+	return place
+}
+
+func weigh(worker guavascale.WorkerID, daemon string) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	// Writes to a digest do not fail.
+	_, _ = h.WriteString(string(worker))
+	_, _ = h.WriteString("\x00")
+	_, _ = h.WriteString(daemon)
+	return h.Sum64()
+}
+
 // set changes the target. The steps gained last are lost first.
 func (r *ramp) set(now time.Time, target int) {
 	total := r.target()
