--- a/guavaroute/guavaroute_test.go
+++ b/guavaroute/guavaroute_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
