guavaconfig: poll a small row ConfigHead in place of the document

All daemons read the whole document every second; with 340 quotas and hundreds of services that is more than a daemon's 25 KB a second. ConfigHead is written in the same commit as Config and therefore has the same row version; a poll reads it and fetches the document only when its row version differs from the last parsed one. Authority still counts from the start of the poll, which is the start of the head's read. A head whose document is missing or older gives no authority and is never overwritten; a document without a head (written before this change) is read whole until the next change writes the head.

In TestPollReadsTheHead ten polls read the head ten times and the document once. All daemons must run this version before the first change: an older one writes Config alone, and newer ones would not notice while the head stays.

Accepting a document older than its head fails TestOneRowAlone; committing without the head fails TestPollReadsTheHead, TestOneRowAlone and TestRowsChangeTogether. Creating the document although a head exists is stopped twice (current and the commit's condition); removing the first alone fails no test.

--- a/guavaconfig/doc.go
+++ b/guavaconfig/doc.go
@@ -8,9 +8,10 @@
 // an ID, so that repeating it does nothing, and the version that it is based
 // on, so that the second of two concurrent changes is refused.
 //
-// A Watcher holds the newest document that a daemon knows. It polls the row,
-// takes documents from peers, and never adopts a lower version. Starting a
-// task requires that a read of the row, begun less than 2 s ago, confirmed the
+// A Watcher holds the newest document that a daemon knows. It polls the small
+// row ConfigHead, which changes in the same commit as Config, reads the document
+// when that row changed, takes documents from peers, and never adopts a lower version. Starting a
+// task requires that a read of the head, begun less than 2 s ago, confirmed the
 // document. A daemon that is cut off or was paused thereby stops starting
 // tasks in a zone that operators have since taken out.
 package guavaconfig
--- a/guavaconfig/submit.go
+++ b/guavaconfig/submit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/json"
 	"errors"
 	"time"
 
@@ -16,6 +17,12 @@
 	submitBackoff  = 50 * time.Millisecond
 )
 
+// headRow is the content of the row ConfigHead.
+type headRow struct {
+	// Version is that of the document.
+	Version uint64
+}
+
 // Submit applies a change to the document in the table and returns the
 // document that contains it. The version that the change reached is
 // Applied(document, change.ID).
@@ -92,10 +99,19 @@
 	if err != nil {
 		return 0, err
 	}
+	head, err := json.Marshal(headRow{Version: c.Version})
+	if err != nil {
+		return 0, err
+	}
+	conditions := []guavascale.Condition{{Key: Key, Version: at}}
+	if at == 0 {
+		// A head without a document is a fault that must not be hidden.
+		conditions = append(conditions, guavascale.Condition{Key: HeadKey})
+	}
 	version, err := w.Table.Commit(ctx, guavascale.Commit{
 		ID:         NewID(),
-		Conditions: []guavascale.Condition{{Key: Key, Version: at}},
-		Writes:     []guavascale.Write{{Key: Key, Value: value}},
+		Conditions: conditions,
+		Writes:     []guavascale.Write{{Key: Key, Value: value}, {Key: HeadKey, Value: head}},
 	})
 	if err != nil && !lostRace(err) && !unavailable(err) {
 		// An error of another type does not prove that nothing was written.
@@ -104,10 +120,10 @@
 	return version, err
 }
 
-func (w *Watcher) get(ctx context.Context) (guavascale.Row, error) {
-	row, err := w.Table.Get(ctx, Key)
+func (w *Watcher) get(ctx context.Context, key string) (guavascale.Row, error) {
+	row, err := w.Table.Get(ctx, key)
 	if err != nil && !missing(err) && !unavailable(err) {
-		err = &guavascale.UnavailableError{System: "table", Op: "read of " + Key, Cause: err}
+		err = &guavascale.UnavailableError{System: "table", Op: "read of " + key, Cause: err}
 	}
 	return row, err
 }
--- a/guavaconfig/watcher.go
+++ b/guavaconfig/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -12,6 +13,10 @@
 const (
 	// Key is the key of the configuration document's row.
 	Key = "Config"
+	// HeadKey is the key of a small row that is written in the same commit as
+	// the document, so both rows always have the same row version. Polling
+	// reads it in place of the document, which may be several hundred KB.
+	HeadKey = "ConfigHead"
 	// PollInterval is the default time between reads of the row.
 	PollInterval = time.Second
 	// StartAuthority is the default and longest time that a read of the row
@@ -53,6 +58,9 @@
 	}
 )
 
+// errHeadOnly means that somebody else than a daemon changed the rows.
+var errHeadOnly = errors.New("the row " + HeadKey + " has no document of its version")
+
 func (e *RevertError) Error() string {
 	return fmt.Sprintf("the table holds configuration version %d, but version %d was in force already", e.Found, e.Held)
 }
@@ -133,10 +141,7 @@
 // read returns the row and its document.
 func (w *Watcher) read(ctx context.Context) (guavascale.Row, guavascale.Config, error) {
 	start := w.now()
-	row, err := w.get(ctx)
-	if missing(err) {
-		row, err = w.create(ctx)
-	}
+	row, err := w.current(ctx)
 	if err != nil {
 		return row, guavascale.Config{}, err
 	}
@@ -147,6 +152,34 @@
 	return row, c, w.confirm(c, start)
 }
 
+// current reads the head, and the document's row when it changed. The returned
+// row has no value when it is the one that was parsed last.
+func (w *Watcher) current(ctx context.Context) (guavascale.Row, error) {
+	head, err := w.get(ctx, HeadKey)
+	none := missing(err)
+	if err != nil && !none {
+		return head, err
+	}
+	if err == nil && w.parsed(head.Version) {
+		return guavascale.Row{Key: Key, Version: head.Version}, nil
+	}
+	row, err := w.get(ctx, Key)
+	switch {
+	case missing(err) && none:
+		// Neither row exists.
+		return w.create(ctx)
+	case missing(err), err == nil && row.Version < head.Version:
+		err = &guavascale.UnavailableError{System: "table", Op: "read of " + Key, Cause: errHeadOnly}
+	}
+	return row, err
+}
+
+func (w *Watcher) parsed(rowVersion uint64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return rowVersion == w.rowVersion
+}
+
 // parse skips the work for a row that was parsed before. Row versions never
 // repeat.
 func (w *Watcher) parse(row guavascale.Row) (guavascale.Config, error) {
@@ -173,7 +206,7 @@
 	if _, err := w.commit(ctx, Initial(), 0); err != nil && !lostRace(err) && !uncertain(err) {
 		return guavascale.Row{}, err
 	}
-	row, err := w.get(ctx)
+	row, err := w.get(ctx, Key)
 	if missing(err) {
 		err = &guavascale.UnavailableError{System: "table", Op: "creation of " + Key, Cause: err}
 	}
