--- a/cmd/guavabench/main.go
+++ b/cmd/guavabench/main.go
@@ -9,9 +9,11 @@
 import "github.com/alecthomas/kong"
 
 type cli struct {
-	Changes  changesCmd  `cmd:"" help:"Measure how fast changes of the configuration are in force, with daemons in one process."`
-	Recovery recoveryCmd `cmd:"" help:"Measure how the system recovers from failures, with daemons in one process."`
-	Routing  routingCmd  `cmd:"" help:"Compare routing policies in a queueing model and measure the gateway's own cost."`
+	Capacity       capacityCmd       `cmd:"" help:"Measure the control cost of one daemon over workers, fleet size and peers."`
+	CapacityDaemon capacityDaemonCmd `cmd:"" hidden:"" help:"The measured daemon of capacity."`
+	Changes        changesCmd        `cmd:"" help:"Measure how fast changes of the configuration are in force, with daemons in one process."`
+	Recovery       recoveryCmd       `cmd:"" help:"Measure how the system recovers from failures, with daemons in one process."`
+	Routing        routingCmd        `cmd:"" help:"Compare routing policies in a queueing model and measure the gateway's own cost."`
 
 	Interference interferenceCmd `cmd:"" help:"Compare policies against interference in virtual time."`
 	Placement    placementCmd    `cmd:"" help:"Compare placement with simple policies and measure the cost of a decision."`
--- a/guavadaemon/jobs_test.go
+++ b/guavadaemon/jobs_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -27,7 +28,7 @@
 		Platform: Platform{Table: &p.Table, Objects: &p.Objects, Hosts: &p.Fleet, Agent: &p.Fleet},
 	}
 	d.assemble(listeners{})
-	d.members.SetSelf(guavascale.Summary{
+	d.members.SetSelf(time.Now(), guavascale.Summary{
 		Daemon: "a", Instance: d.instance(), Sequence: 1,
 		Partitions: []guavascale.PartitionSummary{{
 			Partition: testHome, Zone: "Rennes", Free: guavascale.Resources{MilliCores: 4000, MemoryMB: 4096},
--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -30,9 +30,8 @@
 
 // publish gives the gateway a new snapshot and the peers a new summary.
 func (c *control) publish(now time.Time, cfg *guavascale.Config, preset guavascale.Preset) {
-	c.sequence++
 	self := guavascale.Summary{
-		Daemon: c.d.Settings.Name, Instance: c.d.instance(), Sequence: c.sequence,
+		Daemon: c.d.Settings.Name, Instance: c.d.instance(),
 		PeerAddress: c.d.addresses.Peer, GatewayAddress: c.d.addresses.Gateway,
 		OperatorAddress: c.d.addresses.Operator, Zone: c.d.Settings.Zone,
 		Leaving: c.d.stopping.Load(), ConfigVersion: cfg.Version,
@@ -42,38 +41,43 @@
 			self.Partitions = append(self.Partitions, o.shard.Summary())
 		}
 	}
-	c.d.members.SetSelf(self)
+	if c.d.members.SetSelf(now, self) {
+		c.d.spread()
+	}
 	s := &guavagateway.Snapshot{
 		Daemon: c.d.Settings.Name, Zone: c.d.Settings.Zone, Services: cfg.Services,
 		ZonesOut: cfg.ZonesOut, Preset: preset, Isolated: c.isolated(now),
 		ValidUntil: c.viewUntil(now),
 	}
-	var leaving []string
+	var stopping []string
 	for _, m := range c.d.members.Live(now) {
 		// A leaving daemon still completes requests and keeps its slots.
 		s.Daemons = append(s.Daemons, m.Daemon)
 		if m.Leaving {
-			leaving = append(leaving, m.Daemon)
+			stopping = append(stopping, m.Daemon)
 		}
 	}
-	if !slices.Equal(leaving, c.leaving) {
-		c.leaving = leaving
-		c.d.lease.SetLeaving(leaving)
+	if !slices.Equal(stopping, c.stoppingDaemons) {
+		c.stoppingDaemons = stopping
+		c.d.lease.SetLeaving(stopping)
 	}
 	// A restarted daemon is listed twice until its earlier run counts as dead.
 	s.Daemons = slices.Compact(s.Daemons)
 	c.d.writes.SetLimit(rate.Limit(storeWrites) / rate.Limit(max(len(s.Daemons), 1)))
-	workerLeaves := make(map[guavascale.WorkerID]bool)
-	for _, w := range c.workers {
-		workerLeaves[w.ID] = w.Leaving
-	}
 	for _, e := range c.endpoints {
-		e.Leaving = e.Leaving || workerLeaves[e.Worker]
+		e.Leaving = e.Leaving || c.leaving[e.Worker]
 		s.Endpoints = append(s.Endpoints, e)
 	}
-	if c.joined(now) {
+	if !c.joined(now) {
+		return
+	}
+	if c.published == nil || c.publishedConfig != cfg.Version || c.published.Isolated != s.Isolated ||
+		!slices.Equal(c.published.Daemons, s.Daemons) || !slices.Equal(c.published.Endpoints, s.Endpoints) {
 		c.d.gateway.Set(s)
+		c.published, c.publishedConfig = s, cfg.Version
+		return
 	}
+	c.d.gateway.Extend(s.ValidUntil)
 }
 
 // joined reports whether the daemon has heard from a peer, or waited long
--- a/guavagateway/guavagateway.go
+++ b/guavagateway/guavagateway.go
@@ -92,11 +92,14 @@
 		snapshot atomic.Pointer[Snapshot]
 		// readyAt is when the slots of the first snapshot are usable, in
 		// nanoseconds of Unix time; 0 before.
-		readyAt  atomic.Int64
-		draining atomic.Bool
-		requests atomic.Uint64
-		active   atomic.Int64
-		tickets  atomic.Uint64
+		readyAt atomic.Int64
+		// validUntil is the snapshot's ValidUntil in nanoseconds of Unix time,
+		// 0 when it has none.
+		validUntil atomic.Int64
+		draining   atomic.Bool
+		requests   atomic.Uint64
+		active     atomic.Int64
+		tickets    atomic.Uint64
 
 		// mu guards router and waiting.
 		mu      sync.Mutex
@@ -174,6 +177,7 @@
 	g.init()
 	now := g.Clock.Now()
 	g.snapshot.Store(s)
+	g.Extend(s.ValidUntil)
 	g.readyAt.CompareAndSwap(0, now.Add(guavaroute.GainDelay).UnixNano())
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/guavagateway/view.go
+++ b/guavagateway/view.go
@@ -1,6 +1,9 @@
 package guavagateway
 
-import "errors"
+import (
+	"errors"
+	"time"
+)
 
 // errViewExpired is the reason for which a request is not sent.
 var errViewExpired = errors.New("the daemon's view of the endpoints is out of date")
@@ -9,6 +12,16 @@
 // immediately before each request is sent, since a process that was paused
 // resumes in the middle of its requests.
 func (g *Gateway) expired() bool {
-	s := g.snapshot.Load()
-	return s != nil && !s.ValidUntil.IsZero() && !g.Clock.Now().Before(s.ValidUntil)
+	until := g.validUntil.Load()
+	return until != 0 && g.Clock.Now().UnixNano() >= until
+}
+
+// Extend sets until when the snapshot may be acted on. A snapshot that would not
+// change otherwise is not set again.
+func (g *Gateway) Extend(until time.Time) {
+	if until.IsZero() {
+		g.validUntil.Store(0)
+		return
+	}
+	g.validUntil.Store(until.UnixNano())
 }
