--- a/guavaconfig/doc.go
+++ b/guavaconfig/doc.go
@@ -9,9 +9,10 @@
 // on, so that the second of two concurrent changes is refused.
 //
 // A Watcher holds the newest document that a daemon knows. It polls the small
-// row ConfigHead, which changes in the same commit as Config, reads the document
-// when that row changed, takes documents from peers, and never adopts a lower version. Starting a
-// task requires that a read of the head, begun less than 2 s ago, confirmed the
-// document. A daemon that is cut off or was paused thereby stops starting
-// tasks in a zone that operators have since taken out.
+// row ConfigHead, which changes in the same commit as Config, and reads the
+// document when that row changed. It also takes documents from peers, and never
+// adopts a lower version. Starting a task requires that a read of the head,
+// begun less than 2 s ago, confirmed the document. A daemon that is cut off or
+// was paused thereby stops starting tasks in a zone that operators have since
+// taken out.
 package guavaconfig
--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -54,9 +54,10 @@
 	// hostRetake is the time after which an unchanged host list is taken over
 	// all the same, since the wanted partitions also depend on the owned ones.
 	hostRetake = 10 * time.Second
-	// divideInterval is the time between divisions of service instances.
+	// divideInterval is the time between divisions of service instances, and
+	// between collections of summaries with a snapshot for the gateway.
 	divideInterval = 500 * time.Millisecond
-	// publishInterval is the time between gateway snapshots.
+	// publishInterval is the time between summaries for peers.
 	publishInterval = 200 * time.Millisecond
 	callTimeout     = 2 * time.Second
 
@@ -104,7 +105,8 @@
 		return
 	}
 	preset := guavaconfig.InForce(cfg)
-	if now.After(c.summaryNext) {
+	collected := now.After(c.summaryNext)
+	if collected {
 		c.collectSummaries(now)
 		c.summaryNext = now.Add(divideInterval)
 	}
@@ -118,9 +120,12 @@
 		}
 	}
 	if now.After(c.publishNext) {
-		c.publish(now, &cfg, preset)
+		c.announce(now, &cfg)
 		c.publishNext = now.Add(publishInterval)
 	}
+	if collected || c.publishedConfig != cfg.Version {
+		c.publish(now, &cfg, preset)
+	}
 }
 
 // view describes the rest of the system to a shard.
--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -11,8 +11,8 @@
 	"guavascale.example/guavagateway"
 )
 
-// publish gives the gateway a new snapshot and the peers a new summary.
-func (c *control) publish(now time.Time, cfg *guavascale.Config, preset guavascale.Preset) {
+// announce gives the peers a new summary.
+func (c *control) announce(now time.Time, cfg *guavascale.Config) {
 	self := guavascale.Summary{
 		Daemon: c.d.Settings.Name, Instance: c.d.instance(),
 		PeerAddress: c.d.addresses.Peer, GatewayAddress: c.d.addresses.Gateway,
@@ -27,6 +27,11 @@
 	if c.d.members.SetSelf(now, self) {
 		c.d.spread()
 	}
+}
+
+// publish gives the gateway a new snapshot after the summaries were collected
+// or the configuration changed.
+func (c *control) publish(now time.Time, cfg *guavascale.Config, preset guavascale.Preset) {
 	s := &guavagateway.Snapshot{
 		Daemon: c.d.Settings.Name, Zone: c.d.Settings.Zone, Services: cfg.Services,
 		ZonesOut: cfg.ZonesOut, Preset: preset,
@@ -36,6 +41,9 @@
 		s.Daemons = append(s.Daemons, m.Daemon)
 	}
 	c.d.writes.SetLimit(rate.Limit(storeWrites) / rate.Limit(max(len(s.Daemons), 1)))
+	if c.published != nil {
+		s.Endpoints = make([]guavascale.Endpoint, 0, len(c.published.Endpoints))
+	}
 	for i := range c.others {
 		for _, e := range c.others[i].Endpoints {
 			e.Leaving = e.Leaving || c.leaving[e.Worker]
