--- a/guavapeer/exchange.go
+++ b/guavapeer/exchange.go
@@ -62,9 +62,10 @@
 	keyBytes = 5
 	keyMask  = 1<<(8*keyBytes) - 1
 	// maxParts bounds the parts of a message, which are up to about 1 KB each;
-	// the rest follows with the next exchanges. With 512 the messages of a
-	// start of 200 daemons at once took a daemon to 626 MB.
-	maxParts = 256
+	// the rest follows with the next exchanges. When 200 daemons start at once,
+	// 512 took a daemon to 626 MB and 256 to 757 MB; 64 stays below 128 MB and
+	// takes longer than 30 s until a daemon has all parts of such a system.
+	maxParts = 64
 )
 
 func keyOf(instance string) key { return key(xxhash.Sum64String(instance) & keyMask) }
