--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -28,8 +28,8 @@
 // serves callers alone.
 const joinTime = 5 * time.Second
 
-// publish gives the gateway a new snapshot and the peers a new summary.
-func (c *control) publish(now time.Time, cfg *guavascale.Config, preset guavascale.Preset) {
+// announce gives the peers a new summary.
+func (c *control) announce(now time.Time, cfg *guavascale.Config) {
 	self := guavascale.Summary{
 		Daemon: c.d.Settings.Name, Instance: c.d.instance(),
 		PeerAddress: c.d.addresses.Peer, GatewayAddress: c.d.addresses.Gateway,
@@ -44,6 +44,11 @@
 	if c.d.members.SetSelf(now, self) {
 		c.d.spread()
 	}
+}
+
+// publish gives the gateway a new snapshot after the summaries were collected
+// or the configuration changed.
+func (c *control) publish(now time.Time, cfg *guavascale.Config, preset guavascale.Preset) {
 	s := &guavagateway.Snapshot{
 		Daemon: c.d.Settings.Name, Zone: c.d.Settings.Zone, Services: cfg.Services,
 		ZonesOut: cfg.ZonesOut, Preset: preset, Isolated: c.isolated(now),
@@ -64,6 +69,7 @@
 	// A restarted daemon is listed twice until its earlier run counts as dead.
 	s.Daemons = slices.Compact(s.Daemons)
 	c.d.writes.SetLimit(rate.Limit(storeWrites) / rate.Limit(max(len(s.Daemons), 1)))
+	s.Endpoints = make([]guavascale.Endpoint, 0, len(c.endpoints))
 	for _, e := range c.endpoints {
 		e.Leaving = e.Leaving || c.leaving[e.Worker]
 		s.Endpoints = append(s.Endpoints, e)
