--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -10,6 +10,7 @@
 	"guavascale.example"
 	"guavascale.example/guavaclaim"
 	"guavascale.example/guavaconfig"
+	"guavascale.example/guavagateway"
 	"guavascale.example/guavainterference"
 	"guavascale.example/guavalease"
 	"guavascale.example/guavaplace"
@@ -26,9 +27,15 @@
 	workers   []guavascale.Worker
 	byShard   map[guavascale.Partition][]guavascale.Worker
 	shardZone map[guavascale.Partition]guavascale.Zone
+	// shardCores is the capacity of a shard's workers that are not leaving.
+	shardCores map[guavascale.Partition]int64
+	// leaving holds the workers that the host list calls leaving.
+	leaving   map[guavascale.WorkerID]bool
 	largest   []guavascale.Resources
 	hostsBusy bool
 	hostsNext time.Time
+	// hostsTaken is when the host list was last taken over.
+	hostsTaken time.Time
 	// instances is the division of each service over the shards.
 	instances map[string]map[guavascale.Partition]int
 	// dividedAt and divided are the configuration and the capacities that
@@ -46,10 +53,15 @@
 	ticked  time.Time
 	resumed time.Time
 	// ownerEpoch returns the epoch of a partition in the table.
-	ownerEpoch  func(guavascale.Partition) uint64
-	sequence    uint64
-	publishNext time.Time
-	summaryNext time.Time
+	ownerEpoch func(guavascale.Partition) uint64
+	// stoppingDaemons holds the daemons that shut down.
+	stoppingDaemons []string
+	publishNext     time.Time
+	// published is the last snapshot that the gateway got. An unchanged one is
+	// not set again, since the gateway's work grows with all endpoints.
+	published       *guavagateway.Snapshot
+	publishedConfig uint64
+	summaryNext     time.Time
 	// interference estimates how tasks disturb services; it starts empty.
 	interference guavainterference.Controller
 	mitigateNext time.Time
@@ -60,9 +72,13 @@
 	tickInterval = 100 * time.Millisecond
 	// hostInterval is the time between reads of the host list.
 	hostInterval = 2 * time.Second
-	// divideInterval is the time between divisions of service instances.
+	// hostRetake is the time after which an unchanged host list is taken over
+	// all the same, since the wanted partitions also depend on the owned ones.
+	hostRetake = 10 * time.Second
+	// divideInterval is the time between divisions of service instances, and
+	// between collections of summaries with a snapshot for the gateway.
 	divideInterval = 500 * time.Millisecond
-	// publishInterval is the time between gateway snapshots.
+	// publishInterval is the time between summaries for peers.
 	publishInterval = 200 * time.Millisecond
 	callTimeout     = 2 * time.Second
 
@@ -112,7 +128,8 @@
 		return
 	}
 	preset := guavaconfig.InForce(cfg)
-	if now.After(c.summaryNext) {
+	collected := now.After(c.summaryNext)
+	if collected {
 		c.collectSummaries(now)
 		c.summaryNext = now.Add(divideInterval)
 	}
@@ -127,9 +144,12 @@
 	}
 	c.mitigate(now, preset)
 	if now.After(c.publishNext) {
-		c.publish(now, &cfg, preset)
+		c.announce(now, &cfg)
 		c.publishNext = now.Add(publishInterval)
 	}
+	if collected || c.publishedConfig != cfg.Version {
+		c.publish(now, &cfg, preset)
+	}
 }
 
 // view describes the rest of the system to a shard.
@@ -181,22 +201,39 @@
 				c.d.Log.Debug().Err(err).Msg("hosts: the host list does not answer; the last one stays in use")
 				return
 			}
-			c.setWorkers(workers)
+			if !sameList(workers, c.workers) || c.hostsNext.Sub(c.hostsTaken) > hostRetake {
+				c.hostsTaken = c.hostsNext
+				c.setWorkers(workers)
+			}
 		})
 	})
 }
 
+// sameList reports whether two lists are the same slice. The client of the
+// host list returns the last one again while nothing changed.
+func sameList(a, b []guavascale.Worker) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
 // setWorkers takes over a host list. A shard that the list does not name any
-// more stays wanted while its owner has tasks on it.
+// more stays wanted by all daemons, since it may hold tasks: when only its
+// owner wanted it, nobody took it after a release or the owner's death.
 func (c *control) setWorkers(workers []guavascale.Worker) {
 	c.workers = workers
 	c.byShard = make(map[guavascale.Partition][]guavascale.Worker)
 	c.shardZone = make(map[guavascale.Partition]guavascale.Zone)
+	c.shardCores = make(map[guavascale.Partition]int64)
+	c.leaving = make(map[guavascale.WorkerID]bool)
 	c.largest = c.largest[:0]
 	for _, w := range workers {
 		p := guavascale.ShardOf(w, c.d.Settings.RacksPerShard)
 		c.byShard[p] = append(c.byShard[p], w)
 		c.shardZone[p] = w.Zone
+		if w.Leaving {
+			c.leaving[w.ID] = true
+		} else {
+			c.shardCores[p] += w.Capacity.MilliCores
+		}
 		if !slices.Contains(c.largest, w.Capacity) {
 			c.largest = append(c.largest, w.Capacity)
 		}
@@ -205,9 +242,9 @@
 	for p := range c.byShard {
 		wanted = append(wanted, p)
 	}
-	for p, o := range c.shards {
-		if c.byShard[p] == nil {
-			c.shardZone[p] = o.zone
+	for _, p := range c.d.lease.Rights().Known() {
+		if !isClaim(p) && c.byShard[p] == nil {
+			c.shardZone[p] = zoneOf(p)
 			wanted = append(wanted, p)
 		}
 	}
@@ -253,16 +290,11 @@
 		}
 	}
 	var capacity, all []guavaplace.ShardCapacity
-	for p, workers := range c.byShard {
+	for p := range c.byShard {
 		if cfg.ZonesOut[c.shardZone[p]] {
 			continue
 		}
-		s := guavaplace.ShardCapacity{Shard: p, Zone: c.shardZone[p]}
-		for _, w := range workers {
-			if !w.Leaving {
-				s.MilliCores += w.Capacity.MilliCores
-			}
-		}
+		s := guavaplace.ShardCapacity{Shard: p, Zone: c.shardZone[p], MilliCores: c.shardCores[p]}
 		all = append(all, s)
 		if !dead[p] {
 			capacity = append(capacity, s)
--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -24,11 +24,14 @@
 	pauseLimit = 1500 * time.Millisecond
 )
 
-// publish gives the gateway a new snapshot and the peers a new summary.
-func (c *control) publish(now time.Time, cfg *guavascale.Config, preset guavascale.Preset) {
-	c.sequence++
+// joinTime is how long a daemon without news of its seed peers waits before it
+// serves callers alone.
+const joinTime = 5 * time.Second
+
+// announce gives the peers a new summary.
+func (c *control) announce(now time.Time, cfg *guavascale.Config) {
 	self := guavascale.Summary{
-		Daemon: c.d.Settings.Name, Instance: c.d.instance(), Sequence: c.sequence,
+		Daemon: c.d.Settings.Name, Instance: c.d.instance(),
 		PeerAddress: c.d.addresses.Peer, GatewayAddress: c.d.addresses.Gateway,
 		OperatorAddress: c.d.addresses.Operator, Zone: c.d.Settings.Zone,
 		Leaving: c.d.stopping.Load(), ConfigVersion: cfg.Version,
@@ -38,28 +41,66 @@
 			self.Partitions = append(self.Partitions, o.shard.Summary())
 		}
 	}
-	c.d.members.SetSelf(self)
+	if c.d.members.SetSelf(now, self) {
+		c.d.spread()
+	}
+}
+
+// publish gives the gateway a new snapshot after the summaries were collected
+// or the configuration changed.
+func (c *control) publish(now time.Time, cfg *guavascale.Config, preset guavascale.Preset) {
 	s := &guavagateway.Snapshot{
 		Daemon: c.d.Settings.Name, Zone: c.d.Settings.Zone, Services: cfg.Services,
 		ZonesOut: cfg.ZonesOut, Preset: preset, Isolated: c.isolated(now),
 		ValidUntil: c.viewUntil(now),
 	}
+	var stopping []string
 	for _, m := range c.d.members.Live(now) {
 		// A leaving daemon still completes requests and keeps its slots.
 		s.Daemons = append(s.Daemons, m.Daemon)
+		if m.Leaving {
+			stopping = append(stopping, m.Daemon)
+		}
+	}
+	if !slices.Equal(stopping, c.stoppingDaemons) {
+		c.stoppingDaemons = stopping
+		c.d.lease.SetLeaving(stopping)
 	}
 	// A restarted daemon is listed twice until its earlier run counts as dead.
 	s.Daemons = slices.Compact(s.Daemons)
 	c.d.writes.SetLimit(rate.Limit(storeWrites) / rate.Limit(max(len(s.Daemons), 1)))
-	leaving := make(map[guavascale.WorkerID]bool)
-	for _, w := range c.workers {
-		leaving[w.ID] = w.Leaving
-	}
+	s.Endpoints = make([]guavascale.Endpoint, 0, len(c.endpoints))
 	for _, e := range c.endpoints {
-		e.Leaving = e.Leaving || leaving[e.Worker]
+		e.Leaving = e.Leaving || c.leaving[e.Worker]
 		s.Endpoints = append(s.Endpoints, e)
 	}
-	c.d.gateway.Set(s)
+	if !c.joined(now) {
+		return
+	}
+	if c.published == nil || c.publishedConfig != cfg.Version || c.published.Isolated != s.Isolated ||
+		!slices.Equal(c.published.Daemons, s.Daemons) || !slices.Equal(c.published.Endpoints, s.Endpoints) {
+		c.d.gateway.Set(s)
+		c.published, c.publishedConfig = s, cfg.Version
+		return
+	}
+	c.d.gateway.Extend(s.ValidUntil)
+}
+
+// joined reports whether the daemon has heard from a peer, or waited long
+// enough. Readiness counts from the gateway's first snapshot. When that held no
+// endpoints yet, callers came up to a second before any slot was usable and got
+// 429.
+func (c *control) joined(now time.Time) bool {
+	return len(c.d.Settings.SeedPeers) == 0 || c.d.members.Known() > 0 || now.Sub(c.d.started) > joinTime
+}
+
+// zoneOf returns the zone in the name of a shard, see guavascale.ShardOf.
+func zoneOf(p guavascale.Partition) guavascale.Zone {
+	name := strings.TrimPrefix(string(p), "Shard-")
+	if i := strings.LastIndexByte(name, '-'); i >= 0 {
+		name = name[:i]
+	}
+	return guavascale.Zone(name)
 }
 
 // isolated reports whether the daemon reaches neither the store nor any of the
--- a/guavadaemon/state.go
+++ b/guavadaemon/state.go
@@ -40,12 +40,18 @@
 	ShardState struct {
 		Partition guavascale.Partition
 		Epoch     uint64
-		// Open is set once the log was read.
-		Open     bool
-		Sequence uint64
-		Pending  int
-		Counters guavashard.Counters
-		Summary  guavascale.PartitionSummary
+		// Open is set once the log was read, Acts while the daemon may act
+		// for the shard.
+		Open bool
+		Acts bool
+		// BatchTasks counts the batch tasks that have not ended.
+		BatchTasks int
+		// Answering counts the workers that answered recently.
+		Answering int
+		Sequence  uint64
+		Pending   int
+		Counters  guavashard.Counters
+		Summary   guavascale.PartitionSummary
 	}
 )
 
@@ -95,7 +101,11 @@
 	list := make([]ShardState, 0, len(c.shards))
 	for _, o := range c.shards {
 		s := ShardState{Partition: o.name, Epoch: o.epoch, Open: o.shard != nil, Sequence: o.sequence}
+		right, err := c.d.lease.May(o.name)
+		s.Acts = err == nil && right.Epoch == o.epoch
 		if o.shard != nil {
+			s.BatchTasks = countBatch(o.shard.Tasks())
+			s.Answering = countAnswering(o.shard.Workers())
 			s.Summary = o.shard.Summary()
 			s.Pending = s.Summary.Pending
 			s.Counters = o.shard.Counters
@@ -105,6 +115,26 @@
 	return list
 }
 
+func countBatch(tasks []guavascale.Task) int {
+	n := 0
+	for i := range tasks {
+		if tasks[i].Class == guavascale.ClassBatch && !tasks[i].State.Ended() {
+			n++
+		}
+	}
+	return n
+}
+
+func countAnswering(workers []guavascale.WorkerStatus) int {
+	n := 0
+	for i := range workers {
+		if !workers[i].Silent {
+			n++
+		}
+	}
+	return n
+}
+
 // Dump writes the state dump as JSON.
 func (d *Daemon) Dump(ctx context.Context, w io.Writer) error {
 	st, err := d.State(ctx)
@@ -115,3 +145,6 @@
 	enc.SetIndent("", "  ")
 	return enc.Encode(st)
 }
+
+// Work returns the content of the owned shards.
+func (d *Daemon) Work(ctx context.Context) (guavascale.Work, error) { return (&local{d}).Work(ctx) }
--- a/guavadaemon/system_test.go
+++ b/guavadaemon/system_test.go
@@ -15,6 +15,7 @@
 	"guavascale.example"
 	"guavascale.example/guavaconfig"
 	"guavascale.example/guavafake"
+	"guavascale.example/guavapeer"
 )
 
 type (
@@ -120,8 +121,8 @@
 		s.mu.Unlock()
 		for _, a := range daemons {
 			for _, b := range daemons {
-				if self := b.members.Self(); a != b && self.Instance != "" {
-					a.members.Merge(time.Now(), []guavascale.Summary{self})
+				if a != b {
+					guavapeer.Meet(time.Now(), &a.members, &b.members)
 				}
 			}
 		}
