--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -226,7 +226,7 @@
 		}
 	}
 	for _, o := range c.shards {
-		if o.shard != nil {
+		if o.shard != nil && o.stepped {
 			latest[o.name] = o.shard.Summary()
 			c.keep(now, latest[o.name])
 		}
--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -30,7 +30,7 @@
 		Leaving: c.d.stopping.Load(), ConfigVersion: cfg.Version,
 	}
 	for _, o := range c.shards {
-		if o.shard != nil {
+		if o.shard != nil && o.stepped {
 			self.Partitions = append(self.Partitions, o.shard.Summary())
 		}
 	}
--- a/guavadaemon/shards.go
+++ b/guavadaemon/shards.go
@@ -21,6 +21,10 @@
 	since time.Time
 	log   *guavalog.Log
 	shard *guavashard.Shard
+	// stepped is set with the first step of the shard. Before that it knows no
+	// workers, and a summary without capacity would move its service instances
+	// to other shards.
+	stepped bool
 	// sequence is that of the last log row applied, snapshotAt that of the
 	// last snapshot.
 	sequence     uint64
@@ -116,7 +120,7 @@
 	if err := s.Load(rec.Snapshot, records); err != nil {
 		return err
 	}
-	o.shard = s
+	o.shard, o.stepped = s, false
 	return nil
 }
 
@@ -132,6 +136,7 @@
 		return
 	}
 	c.perform(ctx, o, o.shard.Step(now, v))
+	o.stepped = true
 	c.scanInbox(ctx, now, o)
 	c.snapshot(ctx, o)
 }
