--- a/guavadaemon/recovery_test.go
+++ b/guavadaemon/recovery_test.go
@@ -11,6 +11,7 @@
 	"guavascale.example"
 	"guavascale.example/guavaconfig"
 	"guavascale.example/guavafake"
+	"guavascale.example/guavashard"
 )
 
 // startTestDaemon runs a daemon with short leases against a platform in memory.
@@ -139,3 +140,20 @@
 		})
 	}
 }
+
+// Guards against a shard that reports no capacity before its first step, which
+// moved its service instances to other shards.
+func TestSummaryWaitsForTheFirstStep(t *testing.T) {
+	for name, stepped := range map[string]bool{"log read": false, "first step done": true} {
+		t.Run(name, func(t *testing.T) {
+			b, _ := newTestBackend(t)
+			c, now := b.d.control, b.d.clock.Now()
+			b.d.members.SetSelf(guavascale.Summary{Daemon: "a", Instance: b.d.instance(), Sequence: 2})
+			c.shards[testHome] = &owned{name: testHome, shard: guavashard.New(testHome, "Rennes", 1, now), stepped: stepped}
+			c.collectSummaries(now)
+			c.publish(now, &guavascale.Config{}, guavascale.Preset{})
+			require.Equal(t, stepped, len(c.others) == 1)
+			require.Equal(t, stepped, len(b.d.members.Self().Partitions) == 1)
+		})
+	}
+}
