--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -265,7 +265,7 @@
 		}
 	}
 	for _, o := range c.shards {
-		if o.shard != nil {
+		if o.shard != nil && o.stepped {
 			latest[o.name] = sighting{o.shard.Summary(), c.d.instance()}
 		}
 	}
--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -37,7 +37,7 @@
 		Leaving: c.d.stopping.Load(), ConfigVersion: cfg.Version,
 	}
 	for _, o := range c.shards {
-		if o.shard != nil {
+		if o.shard != nil && o.stepped {
 			self.Partitions = append(self.Partitions, o.shard.Summary())
 		}
 	}
