guavaclaim: give back claims whose commit was not known to the owner

Cause: a claim whose commit answer was lost, with the right lapsing before the read-back, was refused as not run, but came back as taken when the log was recovered. Ruled out: granting the key again at once, since the late commit could still take effect. Change: the owner remembers the IDs of claims that were never used and releases them after the recovery; another owner keeps them taken, which is safe. Before: TestKeyIsFreeAfterAnOutage/AnswerLost fails. After: it passes.

--- a/guavaclaim/claims.go
+++ b/guavaclaim/claims.go
@@ -69,6 +69,33 @@
 		}
 	case !r.MayHaveApplied:
 		p.remove(t, c)
+	default:
+		p.noteUnsent(t, c)
+	}
+}
+
+// noteUnsent remembers a claim that has to be given back once the log has been
+// recovered. p.mu is held.
+func (p *Partitions) noteUnsent(t *table, c *claim) {
+	keys := p.unsent[t.name]
+	if keys == nil {
+		keys = map[string]string{}
+		p.unsent[t.name] = keys
+	}
+	if len(keys) < maxUnsent {
+		keys[c.key] = c.id
+	}
+}
+
+// releaseUnsent gives back the claims of a recovered table that were never
+// used. p.mu is held.
+func (p *Partitions) releaseUnsent(t *table) {
+	keys := p.unsent[t.name]
+	delete(p.unsent, t.name)
+	for key, id := range keys {
+		if c := t.keys[key]; c != nil && c.id == id {
+			p.release(t, c, func(error) {})
+		}
 	}
 }
 
@@ -152,6 +179,9 @@
 			p.remove(t, c)
 		case !r.MayHaveApplied:
 			c.state = stateClaimed
+			p.noteUnsent(t, c)
+		default:
+			p.noteUnsent(t, c)
 		}
 		p.mu.Unlock()
 		done(r.Err)
--- a/guavaclaim/claims_test.go
+++ b/guavaclaim/claims_test.go
@@ -163,15 +163,25 @@
 
 // Guards against a key that stays taken although its caller gave up before the
 // claim was granted, so that nothing was sent, and against a log that stays
-// closed after the right lapsed in an outage and was renewed.
+// closed after the right lapsed in an outage and was renewed. The claim may be in
+// the log then, although its caller was told that nothing was sent.
 func TestKeyIsFreeAfterAnOutage(t *testing.T) {
-	for name, lapses := range map[string]bool{"CallerGaveUp": false, "RightLapsed": true} {
+	tests := map[string]struct{ lapses, committed bool }{
+		"CallerGaveUp": {},
+		"RightLapsed":  {lapses: true},
+		"AnswerLost":   {lapses: true, committed: true},
+	}
+	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				table, objects := newStore()
 				d := own(table, objects, 1, Options{}, "k")
-				table.SetDown(true)
-				if lapses {
+				if tt.committed {
+					table.DownAfterCommit = true
+				} else {
+					table.SetDown(true)
+				}
+				if tt.lapses {
 					time.AfterFunc(5*time.Second, d.lapse)
 				}
 				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -184,7 +194,7 @@
 				d.resume()
 				time.Sleep(5 * time.Second)
 				token, err := d.Claim(context.Background(), "k")
-				if lapses {
+				if tt.lapses {
 					require.ErrorAs(t, err, &down) // This claim starts the recovery.
 					time.Sleep(5 * time.Second)
 					token, err = d.Claim(context.Background(), "k")
--- a/guavaclaim/partitions.go
+++ b/guavaclaim/partitions.go
@@ -24,14 +24,24 @@
 		opening map[guavascale.Partition]bool
 		// keys counts the keys of all tables.
 		keys int
+		// unsent holds, by partition and key, the IDs of claims that may be in
+		// the log although their requests certainly did not run. They are given
+		// back after the log was recovered.
+		unsent map[guavascale.Partition]map[string]string
 		// answers holds the recorded answers, oldest first.
 		answers     *list.List
 		answerBytes int
 	}
 )
 
-// reopenDelay is the least time between two recoveries of a log after a fault.
-const reopenDelay = time.Second
+const (
+	// reopenDelay is the least time between two recoveries of a log after a
+	// fault.
+	reopenDelay = time.Second
+	// maxUnsent bounds the claims of a partition that wait to be given back.
+	// Beyond it keys stay taken, which is safe.
+	maxUnsent = 1000
+)
 
 var (
 	errNotOwner = errors.New("this daemon does not own the partition of the key")
@@ -45,6 +55,7 @@
 		opt:     opt.withDefaults(),
 		tables:  map[guavascale.Partition]*table{},
 		opening: map[guavascale.Partition]bool{},
+		unsent:  map[guavascale.Partition]map[string]string{},
 		answers: list.New(),
 	}
 }
@@ -70,6 +81,7 @@
 	}
 	p.tables[name] = t
 	p.keys += len(t.keys)
+	p.releaseUnsent(t)
 	return nil
 }
 
@@ -79,6 +91,7 @@
 	defer p.mu.Unlock()
 	p.drop(p.tables[name])
 	delete(p.tables, name)
+	delete(p.unsent, name)
 }
 
 // Owns reports whether the partition was gained and not lost.
--- a/internal/storetest/table.go
+++ b/internal/storetest/table.go
@@ -25,6 +25,9 @@
 	Down    bool
 	// LoseAnswers is the number of commits to apply and then report as lost.
 	LoseAnswers int
+	// DownAfterCommit lets the next commit take effect, loses its answer and
+	// starts an outage.
+	DownAfterCommit bool
 	// DropCommits is the number of commits to report as lost and apply after
 	// the next commit, or never when the conditions fail then.
 	DropCommits int
@@ -116,6 +119,10 @@
 		}
 		t.Rows[w.Key] = guavascale.Row{Key: w.Key, Version: t.Version, WriteID: c.ID, Value: w.Value}
 	}
+	if t.DownAfterCommit {
+		t.DownAfterCommit, t.Down = false, true
+		return 0, Unavailable("Commit", true)
+	}
 	if t.LoseAnswers > 0 {
 		t.LoseAnswers--
 		return 0, Unavailable("Commit", true)
