guavaconfig: remove settings that nothing reads; guavadaemon: a sole survivor is not isolated

Cause: nine intervals and QueueLength were validated and documented but used nowhere, so an operator who set them changed nothing. And a daemon whose peers are all known to have ended turned not ready in an outage of the store, although nobody else could serve. Ruled out: wiring all of them, since several must agree with bounds of the promises.

--- a/guavaconfig/intervals.go
+++ b/guavaconfig/intervals.go
@@ -18,32 +18,15 @@
 		// task starts.
 		StartAuthoritySeconds float64
 		GossipSeconds         float64
-		// PeerSuspectSeconds is the silence after which a peer is probed.
-		PeerSuspectSeconds float64
-		// SlotGainSeconds is the wait before a gained request slot is used.
-		SlotGainSeconds float64
 		// GroupCommitSeconds is the longest time that records wait for others
 		// to share a log row.
 		GroupCommitSeconds float64
-		// LeaveSeconds is when a leaving endpoint gets no new request.
-		LeaveSeconds float64
-		// TaskLeaseMarginSeconds is added to a task's lease before the task
-		// counts as ended.
-		TaskLeaseMarginSeconds float64
-		// EjectSeconds doubles up to EjectMaxSeconds for a failing endpoint.
-		EjectSeconds    float64
-		EjectMaxSeconds float64
-		// WorkerBackoffSeconds doubles up to WorkerBackoffMaxSeconds for a
-		// worker that fails every task.
-		WorkerBackoffSeconds    float64
-		WorkerBackoffMaxSeconds float64
 		// KeySeconds is how long idempotency keys are kept, AnswerSeconds how
 		// long recorded responses are.
 		KeySeconds    float64
 		AnswerSeconds float64
-		// RequestSeconds is the longest deadline of a request,
-		// ShutdownSeconds the longest graceful shutdown.
-		RequestSeconds  float64
+		// ShutdownSeconds is the longest graceful shutdown. It exceeds the 30 s
+		// that a request may take.
 		ShutdownSeconds float64
 	}
 
@@ -73,7 +56,6 @@
 		{"Limits.BodyBytes", &l.BodyBytes, 1 << 20, 1 << 10, 64 << 20},
 		{"Limits.HeaderBytes", &l.HeaderBytes, 16 << 10, 1 << 10, 1 << 20},
 		{"Limits.Connections", &l.Connections, 4096, 1, 1 << 20},
-		{"Limits.QueueLength", &l.QueueLength, 1024, 1, 1 << 20},
 	}
 }
 
@@ -88,19 +70,10 @@
 		// The promise for a zone taken out is 3 s; 2 s leave 1 s for the order.
 		{"Intervals.StartAuthoritySeconds", &i.StartAuthoritySeconds, 2, 0.1, 2},
 		{"Intervals.GossipSeconds", &i.GossipSeconds, 1, 0.05, 10},
-		{"Intervals.PeerSuspectSeconds", &i.PeerSuspectSeconds, 3, 0.1, 60},
-		{"Intervals.SlotGainSeconds", &i.SlotGainSeconds, 5, 0.2, 120},
 		{"Intervals.GroupCommitSeconds", &i.GroupCommitSeconds, 0.2, 0.001, 5},
-		{"Intervals.LeaveSeconds", &i.LeaveSeconds, 3, 0.1, 3},
-		{"Intervals.TaskLeaseMarginSeconds", &i.TaskLeaseMarginSeconds, 5, 0.1, 60},
-		{"Intervals.EjectSeconds", &i.EjectSeconds, 1, 0.05, 60},
-		{"Intervals.EjectMaxSeconds", &i.EjectMaxSeconds, 30, 0.1, 600},
-		{"Intervals.WorkerBackoffSeconds", &i.WorkerBackoffSeconds, 30, 0.1, 3600},
-		{"Intervals.WorkerBackoffMaxSeconds", &i.WorkerBackoffMaxSeconds, 3600, 0.2, 86400},
 		{"Intervals.KeySeconds", &i.KeySeconds, 3600, 60, 86400},
 		{"Intervals.AnswerSeconds", &i.AnswerSeconds, 600, 1, 3600},
-		{"Intervals.RequestSeconds", &i.RequestSeconds, 30, 0.1, 30},
-		{"Intervals.ShutdownSeconds", &i.ShutdownSeconds, 35, 1, 300},
+		{"Intervals.ShutdownSeconds", &i.ShutdownSeconds, 35, 31, 300},
 	}
 }
 
@@ -108,11 +81,6 @@
 	return []order{
 		{"SessionTTLSeconds", i.SessionTTLSeconds, 2*i.SessionRenewSeconds + i.SessionMarginSeconds, "twice SessionRenewSeconds plus SessionMarginSeconds"},
 		{"StartAuthoritySeconds", i.StartAuthoritySeconds, i.ConfigPollSeconds, "ConfigPollSeconds"},
-		{"PeerSuspectSeconds", i.PeerSuspectSeconds, i.GossipSeconds, "GossipSeconds"},
-		{"SlotGainSeconds", i.SlotGainSeconds, i.PeerSuspectSeconds, "PeerSuspectSeconds"},
-		{"EjectMaxSeconds", i.EjectMaxSeconds, i.EjectSeconds, "EjectSeconds"},
-		{"WorkerBackoffMaxSeconds", i.WorkerBackoffMaxSeconds, i.WorkerBackoffSeconds, "WorkerBackoffSeconds"},
 		{"KeySeconds", i.KeySeconds, i.AnswerSeconds, "AnswerSeconds"},
-		{"ShutdownSeconds", i.ShutdownSeconds, i.RequestSeconds, "RequestSeconds"},
 	}
 }
--- a/guavaconfig/settings.go
+++ b/guavaconfig/settings.go
@@ -59,9 +59,6 @@
 		ReadSeconds float64
 		// Connections is per listener.
 		Connections int
-		// QueueLength is the number of requests that wait in a daemon for a
-		// free slot.
-		QueueLength int
 	}
 
 	// Log selects what is logged to standard error.
--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -104,14 +104,14 @@
 }
 
 // isolated reports whether the daemon reaches neither the store nor any of the
-// peers that it knows. With the store alone down all daemons are in the same
+// peers that it knows to run. With the store alone down all daemons are in the same
 // position, and nobody can change the configuration.
 func (c *control) isolated(now time.Time) bool {
 	age, ok := c.d.watcher.Age()
 	if ok && age < maxConfigAge {
 		return false
 	}
-	return c.d.members.Known() > 0 && len(c.d.members.Live(now)) <= 1
+	return c.d.members.Known() > len(c.d.members.Gone()) && len(c.d.members.Live(now)) <= 1
 }
 
 // noticePause notes that the process was paused, as a suspended or starved one
