--- a/guavaclaim/claims_test.go
+++ b/guavaclaim/claims_test.go
@@ -17,6 +17,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavalease"
+	_ "guavascale.example/internal/fixedseed"
 	"guavascale.example/internal/storetest"
 )
 
--- a/guavalease/property_test.go
+++ b/guavalease/property_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"guavascale.example"
+	_ "guavascale.example/internal/fixedseed"
 	"guavascale.example/internal/storetest"
 )
 
--- a/guavalog/log_test.go
+++ b/guavalog/log_test.go
@@ -16,6 +16,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavalease"
+	_ "guavascale.example/internal/fixedseed"
 	"guavascale.example/internal/storetest"
 )
 
--- a/guavaplace/divide_test.go
+++ b/guavaplace/divide_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"guavascale.example"
+	_ "guavascale.example/internal/fixedseed"
 )
 
 // shardsOf returns shards with the given cores by zone.
--- a/guavaroute/guavaroute_test.go
+++ b/guavaroute/guavaroute_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"guavascale.example"
+	_ "guavascale.example/internal/fixedseed"
 )
 
 var start = time.Unix(1_000_000, 0)
