--- a/cmd/guavabench/recovery_system.go
+++ b/cmd/guavabench/recovery_system.go
@@ -108,7 +108,7 @@
 	d.Platform = guavadaemon.Platform{
 		Table: linkTable{n.link}, Objects: linkObjects{n.link}, Hosts: linkHosts{n.link}, Agent: linkAgent{n.link},
 	}
-	d.Log = zerolog.New(zerolog.SyncWriter(s.trace)).With().Timestamp().Str("daemon", name).Logger()
+	d.Log = zerolog.New(zerolog.SyncWriter(s.trace)).With().Timestamp().Str("Daemon", name).Logger()
 	d.Listen = n.conns.listen
 	d.Prepare()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/guavadaemon/claims.go
+++ b/guavadaemon/claims.go
@@ -47,7 +47,7 @@
 	if err == nil {
 		return
 	}
-	d.Log.Warn().Err(err).Str("partition", string(p)).Msg("claim: the log could not be read; trying again")
+	d.Log.Warn().Err(err).Str("Partition", string(p)).Msg("claim: the log could not be read; trying again")
 	time.AfterFunc(claimRetry, func() {
 		if ctx.Err() == nil {
 			d.storePool.Submit(func() { d.openClaims(ctx, p, epoch) })
--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -323,11 +323,11 @@
 		return
 	}
 	if e.Kind == guavalease.EventGained {
-		c.d.Log.Info().Str("partition", string(e.Partition)).Uint64("epoch", e.Epoch).Msg("shard: took over")
+		c.d.Log.Info().Str("Partition", string(e.Partition)).Uint64("Epoch", e.Epoch).Msg("shard: took over")
 		c.gain(ctx, e.Partition, e.Epoch)
 		return
 	}
-	c.d.Log.Info().Str("partition", string(e.Partition)).Uint64("epoch", e.Epoch).
+	c.d.Log.Info().Str("Partition", string(e.Partition)).Uint64("Epoch", e.Epoch).
 		Str("reason", e.Reason).Msg("shard: ownership ended")
 	if o := c.shards[e.Partition]; o != nil && o.epoch == e.Epoch {
 		delete(c.shards, e.Partition)
--- a/guavadaemon/daemon.go
+++ b/guavadaemon/daemon.go
@@ -127,7 +127,7 @@
 	defer cancel()
 	d.start(inner, l)
 	close(d.ready)
-	d.Log.Info().Str("gateway", d.addresses.Gateway).Str("operator", d.addresses.Operator).
+	d.Log.Info().Str("Gateway", d.addresses.Gateway).Str("Operator", d.addresses.Operator).
 		Str("peer", d.addresses.Peer).Msg("daemon: started")
 	select {
 	case <-ctx.Done():
@@ -240,7 +240,7 @@
 		}
 		go func() {
 			if err := f(ln); err != nil && !d.stopping.Load() {
-				d.Log.Error().Err(err).Str("listener", name).Msg("daemon: listener failed")
+				d.Log.Error().Err(err).Str("Listener", name).Msg("daemon: listener failed")
 			}
 		}()
 	}
--- a/guavadaemon/gossip.go
+++ b/guavadaemon/gossip.go
@@ -100,7 +100,7 @@
 		d.members.Refused(addr)
 	}
 	if err != nil {
-		d.Log.Debug().Err(err).Str("peer", addr).Msg("peer: the exchange failed")
+		d.Log.Debug().Err(err).Str("Peer", addr).Msg("peer: the exchange failed")
 	}
 	d.heard(ctx, met)
 }
@@ -120,7 +120,7 @@
 		return
 	}
 	if d.watcher.Accept(*next) {
-		d.Log.Info().Uint64("version", next.Version).Str("from", met.Address).Msg("config: adopted from a peer")
+		d.Log.Info().Uint64("Version", next.Version).Str("From", met.Address).Msg("config: adopted from a peer")
 	}
 }
 
@@ -198,7 +198,7 @@
 			return
 		}
 	}
-	r.d.Log.Warn().Str("partition", string(t.Partition)).Msg("claim: a claim whose answer was lost could not be given back")
+	r.d.Log.Warn().Str("Partition", string(t.Partition)).Msg("claim: a claim whose answer was lost could not be given back")
 }
 
 func (r *remoteClaims) Finish(ctx context.Context, t guavascale.ClaimToken, a guavascale.Answer) error {
--- a/guavadaemon/mitigate.go
+++ b/guavadaemon/mitigate.go
@@ -55,8 +55,8 @@
 	if s.Kind == guavainterference.StepEvict {
 		e = c.d.Log.Info()
 	}
-	e.Str("step", string(s.Kind)).Str("task", string(s.Task)).Str("worker", string(s.Worker)).
-		Str("service", string(s.Service)).Float64("ratio", s.Ratio).Int("percent", s.Percent).
+	e.Str("Step", string(s.Kind)).Str("Task", string(s.Task)).Str("Worker", string(s.Worker)).
+		Str("service", string(s.Service)).Float64("Ratio", s.Ratio).Int("Percent", s.Percent).
 		Bool("taken", taken).Msg("mitigation: step for a service")
 }
 
--- a/guavadaemon/publish.go
+++ b/guavadaemon/publish.go
@@ -119,7 +119,7 @@
 func (c *control) noticePause(now time.Time) {
 	if !c.ticked.IsZero() && now.Sub(c.ticked) > pauseLimit {
 		c.resumed = now
-		c.d.Log.Warn().Dur("pause", now.Sub(c.ticked)).Msg("daemon: the process was paused")
+		c.d.Log.Warn().Dur("Pause", now.Sub(c.ticked)).Msg("daemon: the process was paused")
 	}
 	c.ticked = now
 }
--- a/guavadaemon/shards.go
+++ b/guavadaemon/shards.go
@@ -92,7 +92,7 @@
 		err = c.load(o, &rec)
 	}
 	if err != nil {
-		c.d.Log.Warn().Err(err).Str("partition", string(o.name)).Msg("shard: the log could not be read; trying again")
+		c.d.Log.Warn().Err(err).Str("Partition", string(o.name)).Msg("shard: the log could not be read; trying again")
 		time.AfterFunc(recoverRetry, func() {
 			c.d.mail.post(func() {
 				if c.shards[o.name] == o {
@@ -102,7 +102,7 @@
 		})
 		return
 	}
-	c.d.Log.Info().Str("partition", string(o.name)).Int("tasks", len(o.shard.Tasks())).Msg("shard: log read")
+	c.d.Log.Info().Str("Partition", string(o.name)).Int("Tasks", len(o.shard.Tasks())).Msg("shard: log read")
 }
 
 func (c *control) load(o *owned, rec *guavalog.Recovered) error {
@@ -131,7 +131,7 @@
 		return
 	}
 	if err := o.log.Err(); err != nil {
-		c.d.Log.Warn().Err(err).Str("partition", string(o.name)).Msg("shard: the log is closed; reading it again")
+		c.d.Log.Warn().Err(err).Str("Partition", string(o.name)).Msg("shard: the log is closed; reading it again")
 		c.open(ctx, o)
 		return
 	}
@@ -161,7 +161,7 @@
 	for _, rec := range a.Records {
 		data, err := json.Marshal(rec)
 		if err != nil {
-			c.d.Log.Error().Err(err).Str("partition", string(o.name)).Msg("shard: a record could not be encoded")
+			c.d.Log.Error().Err(err).Str("Partition", string(o.name)).Msg("shard: a record could not be encoded")
 			return
 		}
 		entry.Records = append(entry.Records, data)
@@ -237,7 +237,7 @@
 	}
 	data, err := o.shard.Snapshot()
 	if err != nil {
-		c.d.Log.Error().Err(err).Str("partition", string(o.name)).Msg("shard: the snapshot could not be encoded")
+		c.d.Log.Error().Err(err).Str("Partition", string(o.name)).Msg("shard: the snapshot could not be encoded")
 		return
 	}
 	o.snapshotBusy = true
@@ -247,7 +247,7 @@
 		c.d.mail.post(func() {
 			o.snapshotBusy = false
 			if err != nil {
-				c.d.Log.Warn().Err(err).Str("partition", string(o.name)).Msg("shard: the snapshot failed")
+				c.d.Log.Warn().Err(err).Str("Partition", string(o.name)).Msg("shard: the snapshot failed")
 			}
 			// After an error the next snapshot is due after as many rows
 			// again, so that a store under load gets no extra writes.
--- a/guavagateway/handle.go
+++ b/guavagateway/handle.go
@@ -68,7 +68,7 @@
 	if fault == nil {
 		return
 	}
-	r.g.Log.Error().Interface("fault", fault).Msg("gateway: request handler panicked")
+	r.g.Log.Error().Interface("Fault", fault).Msg("gateway: request handler panicked")
 	r.fail(&failure{guavascale.OutcomeUnknown, fasthttp.StatusBadGateway, "internal fault"})
 }
 
