guavashard, guavactl: show measured usage beside declared sizes

Cause: declared sizes are far off, and operators could not see which tasks use more than they declare. After: guavactl tasks has the column CORES USED, and a task beyond its size by a tenth says so (TestUsageBeyondTheDeclaredSizeIsShown).

--- a/cmd/guavactl/work.go
+++ b/cmd/guavactl/work.go
@@ -154,16 +154,26 @@
 	if page.More && len(page.Tasks) > 0 {
 		s.warn("more entries follow; use --after %s", page.Tasks[len(page.Tasks)-1].ID)
 	}
-	t := table{{"TASK", "CLASS", "STATE", "ATTEMPT", "WORKER", "FAILURES", "EVICTIONS", "REASON"}}
+	t := table{{"TASK", "CLASS", "STATE", "ATTEMPT", "WORKER", "FAILURES", "EVICTIONS", "CORES USED", "REASON"}}
 	for _, v := range page.Tasks {
 		t = append(t, []string{
 			string(v.ID), string(v.Class), string(v.State), number(v.Attempt), string(v.Worker),
-			number(v.Failures), number(v.Evictions), v.Reason,
+			number(v.Failures), number(v.Evictions), usedCores(v), v.Reason,
 		})
 	}
 	return s.show(page, t)
 }
 
+// usedCores shows the measured processors of a running task against the declared
+// ones.
+func usedCores(t guavascale.Task) string {
+	if t.Used.IsZero() {
+		return ""
+	}
+	const milli = 1000
+	return fmt.Sprintf("%.3g/%.3g", float64(t.Used.MilliCores)/milli, float64(t.Size.MilliCores)/milli)
+}
+
 // Run lists workers.
 func (c hostsCmd) Run(s *session) error {
 	page, err := s.client.Hosts(s.ctx)
--- a/guavashard/order_test.go
+++ b/guavashard/order_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
+	"guavascale.example/guavafake"
 )
 
 func hasStart(m Message) bool {
@@ -116,3 +117,26 @@
 	require.Equal(t, 1, h.status("tally").Done)
 	h.requireNoViolations()
 }
+
+// Guards against a wrong declared size that operators cannot see.
+func TestUsageBeyondTheDeclaredSizeIsShown(t *testing.T) {
+	tests := map[string]struct {
+		factor float64
+		reason string
+	}{
+		"as declared": {1, ""},
+		"far more":    {3, "uses more than its declared size"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1, 1)
+			require.NoError(t, h.fleet.SetFaults("w0", guavafake.WorkerFaults{UsageFactor: tt.factor}))
+			h.declareSafely(testJob("audit", 1, 60))
+			h.run(5 * time.Second)
+			task := h.shard.Tasks()[0]
+			require.Equal(t, int64(1000*tt.factor), task.Used.MilliCores)
+			require.Equal(t, tt.reason, task.Reason)
+			require.NotContains(t, string(h.log[len(h.log)-1]), "Used")
+		})
+	}
+}
--- a/guavashard/summary.go
+++ b/guavashard/summary.go
@@ -77,8 +77,15 @@
 	return list
 }
 
+// display returns a task as operators see it, with its measured usage.
 func (s *Shard) display(e *entry) guavascale.Task {
 	t := e.task
+	if t.State.HoldsWorker() {
+		t.Used = s.worker(t.Worker).reports[e.attempt].Used
+		if t.Reason == "" && exceeds(t.Used, t.Size) {
+			t.Reason = "uses more than its declared size"
+		}
+	}
 	switch {
 	case t.State == guavascale.TaskStarting && e.seen:
 		t.State = guavascale.TaskRunning
@@ -91,6 +98,12 @@
 	return t
 }
 
+// exceeds reports whether the measured usage is beyond the declared size by more
+// than a tenth, which measurements may be off by.
+func exceeds(used, size guavascale.Resources) bool {
+	return used.MilliCores > size.MilliCores*11/10 || used.MemoryMB > size.MemoryMB*11/10
+}
+
 // Jobs returns the unfinished jobs whose home is this shard.
 func (s *Shard) Jobs() []guavascale.JobStatus {
 	list := make([]guavascale.JobStatus, 0, len(s.jobs))
--- a/task.go
+++ b/task.go
@@ -58,6 +58,9 @@
 		// Evictions counts attempts that were stopped to protect a service
 		// or to empty a zone.
 		Evictions int
+		// Used is the latest measured usage, for operators; it is never logged
+		// and zero unless an attempt runs.
+		Used Resources `json:",omitzero"`
 		// Reason tells why the task is in its state, for operators.
 		Reason string
 	}
