guavadaemon: add metrics of the scheduler

Cause: /Metrics had the gateway and the operators' interface only, so that an on-call engineer saw neither waiting tasks nor the age of the configuration.

--- a/guavadaemon/control.go
+++ b/guavadaemon/control.go
@@ -21,6 +21,7 @@
 // it.
 type control struct {
 	d      *Daemon
+	meters meters
 	rng    *rand.Rand
 	shards map[guavascale.Partition]*owned
 
@@ -93,7 +94,7 @@
 
 func newControl(d *Daemon, rng *rand.Rand) *control {
 	return &control{
-		d: d, rng: rng,
+		d: d, rng: rng, meters: newMeters(d.registry),
 		shards:  make(map[guavascale.Partition]*owned),
 		byShard: make(map[guavascale.Partition][]guavascale.Worker),
 		known:   make(map[guavascale.Partition]sighting), ownerEpoch: d.tableEpoch,
@@ -149,6 +150,7 @@
 	}
 	if collected || c.publishedConfig != cfg.Version {
 		c.publish(now, &cfg, preset)
+		c.measure(now)
 	}
 }
 
--- a/guavashard/summary.go
+++ b/guavashard/summary.go
@@ -38,6 +38,9 @@
 	return p
 }
 
+// Pending returns the number of tasks that wait for a worker.
+func (s *Shard) Pending() int { return len(s.waiting) }
+
 func (s *Shard) endpoints() []guavascale.Endpoint {
 	var list []guavascale.Endpoint
 	for _, e := range s.tasks {
