guavashard: count an unlogged attempt once, and order what is forgotten

Cause: the count of orphans grew with each report while one was being stopped, and the orders to forget came in the order of a map, so that equal inputs did not give equal outputs.

--- a/guavashard/report.go
+++ b/guavashard/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"guavascale.example"
@@ -66,18 +67,28 @@
 		known[e.attempt] = true
 		s.readAttempt(w, e, w.reports[e.attempt], sentAt)
 	}
-	w.forget, w.orphans = w.forget[:0], w.orphans[:0]
-	for _, a := range w.reports {
-		if known[a.Attempt] {
-			continue
-		}
-		if a.State.Ended() {
-			w.forget = append(w.forget, a.Attempt)
-		} else {
-			s.Orphans++
-			w.orphans = append(w.orphans, a.Attempt)
+	s.readUnlogged(w, known)
+}
+
+// readUnlogged sorts the reported attempts that the log does not place on the
+// worker: ended ones may be forgotten, others are stopped.
+func (s *Shard) readUnlogged(w *workerState, known map[guavascale.AttemptID]bool) {
+	before := w.orphans
+	w.forget, w.orphans = nil, nil
+	for id, a := range w.reports {
+		switch {
+		case known[id]:
+		case a.State.Ended():
+			w.forget = append(w.forget, id)
+		default:
+			w.orphans = append(w.orphans, id)
+			if !slices.Contains(before, id) {
+				s.Orphans++
+			}
 		}
 	}
+	slices.Sort(w.forget)
+	slices.Sort(w.orphans)
 }
 
 // readAttempt compares a task that the log places on the worker with the
