--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	@for m in $(filter-out .,$(MODULES)); do go build -o bin/ ./$$m || exit 1; done
 
 test:
-	@for m in $(MODULES); do (cd $$m && go test -race -timeout 400s ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && go test -race -count=1 -timeout 400s ./...) || exit 1; done
 
 fmt:
 	cd tools && go tool gofumpt -w $(addprefix ../,$(filter-out .,$(MODULES))) ../*.go ../guava*
