guavashard: adopt the end of an attempt when its worker returns before the next start

A worker came back just after its leases were judged to be over; its report told of the checkpoints, the owner let it forget them and started the tasks from zero. A task that was done there would have been run again. Ruled out: a longer lease margin, which only moves the moment. Change: while the task waits and no next attempt is proposed, the reported end is logged: done stays done, a checkpoint is resumed from. Before: TestWorkerReturnsAfterItsLeases fails in both cases (2 starts of a finished task; resumes at 0 s of 60 s of work). After: it passes.

--- a/guavashard/order_test.go
+++ b/guavashard/order_test.go
@@ -140,3 +140,30 @@
 		})
 	}
 }
+
+// Guards against work that is lost or repeated because a worker comes back after
+// its leases were judged to be over, and before its tasks started elsewhere.
+func TestWorkerReturnsAfterItsLeases(t *testing.T) {
+	tests := map[string]struct {
+		seconds float64
+		starts  int
+	}{
+		"task was done":         {30, 1},
+		"task was checkpointed": {300, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1, 1)
+			h.declareSafely(testJob("tally", 1, tt.seconds))
+			h.run(5 * time.Second)
+			h.cutOff("w0", true)
+			h.run(2 * time.Minute)
+			require.Empty(t, h.shard.Tasks()[0].Worker, "the lease is over")
+			h.cutOff("w0", false)
+			h.run(6 * time.Minute)
+			require.Equal(t, 1, h.status("tally").Done)
+			require.Equal(t, tt.starts, h.fleet.Verdict().StartsByTask["tally/0"])
+			require.Empty(t, h.fleet.Verdict().Violations)
+		})
+	}
+}
--- a/guavashard/report.go
+++ b/guavashard/report.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"guavascale.example"
@@ -78,6 +79,7 @@
 	for id, a := range w.reports {
 		switch {
 		case known[id]:
+		case a.State.Ended() && s.adoptEnd(w, id, a):
 		case a.State.Ended():
 			w.forget = append(w.forget, id)
 		default:
@@ -91,6 +93,35 @@
 	slices.Sort(w.orphans)
 }
 
+// adoptEnd takes over the end of an attempt whose lease was judged to be over
+// while its worker was silent, as long as the next attempt has not been
+// proposed: a task that was done stays done, and one that was checkpointed
+// resumes from there. It reports whether the worker has to keep the attempt
+// until that is in the log.
+func (s *Shard) adoptEnd(w *workerState, id guavascale.AttemptID, a guavascale.AttemptReport) bool {
+	name, _, _ := strings.Cut(string(id), "#")
+	e := s.tasks[guavascale.TaskID(name)]
+	if e == nil || e.attempt != id || !waits(&e.task) {
+		return false
+	}
+	if e.next != nil {
+		return true
+	}
+	if a.State == guavascale.AttemptDone {
+		s.noteSuccess(w, &e.task)
+		s.Completions++
+		s.endTask(e, guavascale.TaskDone, "")
+		return true
+	}
+	if a.Checkpoint == "" || a.Checkpoint == e.task.Checkpoint {
+		return false
+	}
+	t := e.task
+	t.State, t.Checkpoint = guavascale.TaskSuspended, a.Checkpoint
+	s.proposeTask(t, t.Urgent)
+	return true
+}
+
 // readAttempt compares a task that the log places on the worker with the
 // worker's report of its attempt; a zero report means that the worker does not
 // know the attempt.
