make: run all measurements with one command

Cause: make bench printed the usage of guavabench only. Its targets were checked with make -n and each subcommand's flags; the whole of it was not run, the subcommands were run one by one.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # Modules of the workspace that hold product code.
 MODULES := . cmd/guavabench cmd/guavactl cmd/guavademo cmd/guavaplatform cmd/guavascaled
+MEASUREMENTS := routing interference placement zones recovery changes
 
 .PHONY: build test fmt fmt-check lint spec demo bench capacity
 
@@ -11,7 +12,7 @@
 	@for m in $(MODULES); do (cd $$m && go test -race -count=1 -timeout 400s ./...) || exit 1; done
 
 fmt:
-	cd tools && go tool gofumpt -w $(addprefix ../,$(filter-out .,$(MODULES))) ../*.go ../guava*
+	cd tools && go tool gofumpt -w $(addprefix ../,$(filter-out .,$(MODULES))) ../*.go ../guava* ../internal
 
 fmt-check:
 	@out=$$(cd tools && go tool gofumpt -l ..); \
@@ -28,8 +29,11 @@
 demo: build
 	bin/guavademo
 
+# Runs all measurements one after another and writes their tables to out/.
 bench: build
-	bin/guavabench
+	@mkdir -p out
+	@for t in $(MEASUREMENTS); do \
+		bin/guavabench $$t --commit $$(git rev-parse --short HEAD) --output out/$$t.md || exit 1; done
 
 capacity: build
 	bin/guavabench capacity --commit $$(git rev-parse --short HEAD)
