guavapeer: bound the size of messages and the time for them

Cause: net/rpc's codec accepts messages of up to 1 GiB and waits for ever, so the peers' listener was the one without limits. Ruled out: TLS or a credential between daemons, which is a matter of its own; a frame format of our own, since the bound fits below gob. Before: a message of 512 MiB is read on (TestBadMessagesCloseTheirConnection/oversized: still open after 64 MiB). After: the connection is closed at 16 MiB; others go on.

--- a/guavapeer/server.go
+++ b/guavapeer/server.go
@@ -111,7 +111,7 @@
 		}
 		go func() {
 			defer s.untrack(c)
-			r.ServeConn(c)
+			r.ServeCodec(newServerCodec(c))
 		}()
 	}
 }
