guavashard: adopt an end that was reported while the end of the lease was committed

The worker reported its checkpoints while the owner's judgement that the leases were over was being committed; the task was locked then, and after the commit it was placed before the next report. Change: when a task begins to wait, the reports that its last worker already gave are looked at. Before: TestWorkerReturnsDuringTheCommit fails (resumes at 0 s, completed were 60 s). After: it passes.

--- a/guavashard/order_test.go
+++ b/guavashard/order_test.go
@@ -167,3 +167,22 @@
 		})
 	}
 }
+
+// Guards against the same when the worker reports while the end of the lease is
+// being committed.
+func TestWorkerReturnsDuringTheCommit(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	h.declareSafely(testJob("tally", 1, 300))
+	h.run(5 * time.Second)
+	h.cutOff("w0", true)
+	for h.shard.tasks["tally/0"].next == nil {
+		h.step()
+	}
+	h.cutOff("w0", false)
+	w := h.shard.workers["w0"].worker
+	r, err := h.fleet.Send(t.Context(), w, guavascale.Orders{Shard: testName, Epoch: 1})
+	h.perform(h.shard.HandleReport(h.clock.now, h.clock.now, "w0", r, err))
+	h.run(6 * time.Minute)
+	require.Equal(t, 1, h.status("tally").Done)
+	require.Empty(t, h.fleet.Verdict().Violations)
+}
--- a/guavashard/report.go
+++ b/guavashard/report.go
@@ -122,6 +122,18 @@
 	return true
 }
 
+// adoptReported looks whether a task that now waits ended on its worker in a
+// way that was reported while its change was being committed.
+func (s *Shard) adoptReported(e *entry, worker guavascale.WorkerID) {
+	w := s.workers[worker]
+	if w == nil || !waits(&e.task) {
+		return
+	}
+	if a, ok := w.reports[e.attempt]; ok && a.State.Ended() {
+		s.adoptEnd(w, e.attempt, a)
+	}
+}
+
 // readAttempt compares a task that the log places on the worker with the
 // worker's report of its attempt; a zero report means that the worker does not
 // know the attempt.
