guavaqueue: a new owner repeats no adopted run before it knows the failures

An owner that the store refused saw three attempts fail and started the fourth; its successor adopted that one, which cleared the mark that runs and failures of the former owner may be unknown, and started a fifth attempt before the three other workers had listed their ends. Change: the mark stays until all workers of the former owner have answered, but for services, whose failures are not counted.

--- a/guavaqueue/failure_test.go
+++ b/guavaqueue/failure_test.go
@@ -370,3 +370,42 @@
 	assert.Equal(t, guavascale.SubmissionCancelled, must(f.engine.State("b")))
 	assert.Equal(t, 2, cancelled)
 }
+
+// Guards against an attempt too many. An owner that can't commit sees a task fail
+// on two workers and starts its last attempt; its successor lists that attempt
+// first, and hears of the failures on the other workers later.
+func TestAdoptedRunIsNotRepeatedBeforeFailuresAreKnown(t *testing.T) {
+	f := newFleet(t, 3)
+	f.submit(batchOf("a", 1, 1, 2*time.Second))
+	f.run(100 * time.Millisecond)
+	require.True(t, f.accepted["a"])
+	f.storeDown = true
+	failed := 0
+	for range 2 {
+		for _, w := range f.workers {
+			if len(w.runs) > 0 {
+				w.failAll, failed = true, failed+1
+			}
+		}
+		f.run(300 * time.Millisecond)
+	}
+	require.Equal(t, 2, failed)
+	require.Equal(t, 3, f.starts)
+	f.storeDown = false
+	for _, w := range f.workers {
+		w.cut = len(w.runs) == 0
+	}
+	f.own()
+	f.run(300 * time.Millisecond)
+	for _, w := range f.workers {
+		w.failAll = true
+	}
+	f.run(2 * time.Second)
+	assert.Equal(t, 3, f.starts, "no start before the other workers are heard")
+	for _, w := range f.workers {
+		w.cut = false
+	}
+	f.run(2 * time.Second)
+	assert.Equal(t, 3, f.starts)
+	assert.Equal(t, map[guavascale.SubmissionState]int{guavascale.SubmissionFailed: 1}, f.states())
+}
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -201,6 +201,10 @@
 	r := &run{id: id, task: t, worker: w, phase: phaseRunning, confirmed: now, begun: now, sent: now, pace: fullPace}
 	wanted := t.wanted() && (len(t.runs) == 0 || t.step.spec.Copies)
 	e.addRun(r)
+	if t.step.spec.Service {
+		// Failures are not counted, and no other run of it is left.
+		t.inherited = false
+	}
 	e.noteRun(now, EventAdopted, r, "", "")
 	if !wanted {
 		e.stop(now, r)
@@ -352,7 +356,6 @@
 		t.step.waiting--
 	}
 	t.runs = append(t.runs, r)
-	t.inherited = false
 	t.step.perWorker[r.worker.ID]++
 	w := r.worker
 	w.runs[r.id] = r
