guavaqueue: keep workers for fillers that disturb services

Change: services leave 8% of a pool's workers to fillers while they find room elsewhere. Workers are weighed by the waiting and running work of the kinds that may run there, remembered for some seconds, for fillers, ordinary tasks and services. Candidates are found once a decision. Test: TestFillersThatDisturbFindRoom failed before.

--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -64,7 +64,19 @@
 		missingUntil time.Time
 		// suspicions holds what is known of kinds that disturb each other.
 		suspicions suspicions
-		demandAt   time.Time
+		// demands is the part of the processors on which the fillers of a kind
+		// may run that their work takes, as of demandAt.
+		demands map[string]float64
+		// work is what demands were computed from, in thousandths of a core.
+		work     map[string]int64
+		demandAt time.Time
+		// candidates holds the workers of each pool that may get starts in this
+		// decision, and blocked what blockedBy has found in it.
+		candidates map[string][]*worker
+		blocked    map[string]map[string]bool
+		// spare counts for each pool the workers that services may still open
+		// in this decision.
+		spare map[string]int
 		// events waits for Events; see there.
 		events        []Event
 		eventsLeftOut int
@@ -175,7 +187,8 @@
 		runs       []*run
 		// notBefore delays a start after failures.
 		notBefore time.Time
-		// inherited is set while a run of an earlier owner may be unknown.
+		// inherited is set when runs of an earlier owner, or their failures, may
+		// be unknown until all workers that it used have answered.
 		inherited bool
 	}
 
@@ -248,7 +261,8 @@
 		// highest is the highest latency of a service at observedAt, in parts
 		// of its target.
 		highest float64
-		// demand is how much kinds of fillers depend on the worker.
+		// demand is the sum of the demands of the kinds of fillers that may run
+		// here.
 		demand float64
 		// suspectGone is when a filler last ended here that is suspect.
 		suspectGone time.Time
--- a/guavaqueue/interfere.go
+++ b/guavaqueue/interfere.go
@@ -78,6 +78,9 @@
 	leastCores = 0.03
 	// demandEvery spaces computations of what the kinds depend on.
 	demandEvery = 500 * time.Millisecond
+	// demandMemory is how much of the work of a kind still counts at the next
+	// computation, in percent: half of it after 6 s.
+	demandMemory = 94
 	// maxPairs bounds what is remembered.
 	maxPairs = 4096
 
@@ -349,14 +352,37 @@
 // apart reports whether a filler of a kind must not run beside the services of
 // a worker.
 func (e *Engine) apart(now time.Time, filler string, w *worker) bool {
+	if w.services == 0 {
+		return false
+	}
+	blockedBy := e.blockedBy(now, filler)
 	for _, l := range w.loads() {
-		if l.Class == guavascale.ClassService && e.suspicions.apart(now, l.Kind, filler) {
+		if l.Class == guavascale.ClassService && blockedBy[l.Kind] {
 			return true
 		}
 	}
 	return false
 }
 
+// blockedBy returns the kinds of services beside which a filler of a kind must
+// not run now.
+func (e *Engine) blockedBy(now time.Time, filler string) map[string]bool {
+	if kinds, ok := e.blocked[filler]; ok {
+		return kinds
+	}
+	kinds := make(map[string]bool)
+	for k := range e.suspicions.pairs {
+		if k.filler == filler && e.suspicions.apart(now, k.service, filler) {
+			kinds[k.service] = true
+		}
+	}
+	if e.blocked == nil {
+		e.blocked = make(map[string]map[string]bool)
+	}
+	e.blocked[filler] = kinds
+	return kinds
+}
+
 // gone notes that a filler has ended on a worker.
 func (e *Engine) gone(now time.Time, filler string, w *worker) {
 	for _, l := range w.loads() {
@@ -373,38 +399,76 @@
 			e.suspicions.try(now, l.Kind, filler)
 		}
 	}
+	// A pair that is tried again is tried once at a time.
+	delete(e.blocked, filler)
 }
 
-// weighDemand computes for each worker how much the kinds of fillers that may
-// run there depend on it: a kind that may run on few workers counts for more on
-// each of them.
+// weighDemand computes how much the fillers of each kind need the workers on
+// which they may run, and from that how much each worker is needed.
 func (e *Engine) weighDemand(now time.Time) {
 	if now.Sub(e.demandAt) < demandEvery {
 		return
 	}
 	e.demandAt = now
-	kinds := make(map[string]int)
-	for k := range e.suspicions.pairs {
-		kinds[k.filler] = 0
-	}
+	work := e.fillerWork()
+	e.demands = make(map[string]float64, len(work))
 	for _, w := range e.workers {
 		w.demand = 0
 	}
-	for kind := range kinds {
-		n := 0
+	for kind, cores := range work {
+		room := int64(0)
 		for _, w := range e.workers {
 			if e.usable(now, w) && !e.apart(now, kind, w) {
-				n++
+				room += w.Capacity.MilliCores
 			}
 		}
+		demand := float64(cores) / float64(max(room, cores, 1))
+		e.demands[kind] = demand
 		for _, w := range e.workers {
-			if n > 0 && !e.apart(now, kind, w) {
-				w.demand += 1 / float64(n)
+			if !e.apart(now, kind, w) {
+				w.demand += demand
 			}
 		}
 	}
 }
 
+// fillerWork returns the processors that the fillers of each kind use or wait
+// for. Kinds come in bursts, so what was there before counts for a while.
+func (e *Engine) fillerWork() map[string]int64 {
+	work := make(map[string]int64)
+	for _, st := range e.open {
+		if st.spec.Filler {
+			work[st.spec.Kind] += int64(st.waiting) * st.spec.Size.MilliCores
+		}
+	}
+	for _, w := range e.workers {
+		for _, l := range w.loads() {
+			if l.Class == guavascale.ClassBatch {
+				work[l.Kind] += l.MilliCores
+			}
+		}
+	}
+	for kind, before := range e.work {
+		if cores := before * demandMemory / 100; cores > work[kind] {
+			work[kind] = cores
+		}
+	}
+	e.work = work
+	return work
+}
+
+// displaced returns the demand of the fillers that could no longer run on a
+// worker beside a service of a kind.
+func (e *Engine) displaced(now time.Time, service string, w *worker) float64 {
+	sum := 0.0
+	for filler, demand := range e.demands {
+		if e.suspicions.apart(now, service, filler) && !e.apart(now, filler, w) {
+			sum += demand
+		}
+	}
+	return sum
+}
+
 // loads returns what runs on the worker by kind.
 func (w *worker) loads() []load {
 	if w.loadsValid {
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -91,6 +91,7 @@
 	if mayAct && !e.deposed {
 		e.resend(now)
 		e.empty(now)
+		e.findCandidates(now)
 		e.place(now)
 		e.straggle(now)
 		for _, w := range e.workers {
@@ -178,6 +179,9 @@
 		id: guavascale.Run{Task: t.ref(), Attempt: attempt}, task: t, worker: w,
 		sent: now, begun: now, orderOut: true, pace: fullPace,
 	}
+	if t.step.spec.Service && w.services == 0 {
+		e.spare[w.Service]--
+	}
 	e.addRun(r)
 	e.note(Event{
 		Kind: EventStart, Submission: t.step.sub.ID, Run: r.id, Worker: w.ID,
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -35,7 +35,13 @@
 	failedPenalty  = 20.0
 	suspectPenalty = 1.0
 	// demandWeight weighs what other kinds depend on against free processors.
-	demandWeight = 3.0
+	demandWeight = 1.0
+	// reservedShare is the part of a service's workers that its services leave
+	// to fillers while they find room elsewhere, and reservePenalty what keeps
+	// them away. Fillers that disturb most kinds of services have only such
+	// workers.
+	reservedShare  = 0.08
+	reservePenalty = 3.0
 )
 
 // place starts tasks that wait, in order of urgency.
@@ -205,8 +211,8 @@
 	var best *worker
 	bestScore := 0.0
 	size := st.tasks[0].size()
-	for _, w := range e.workers {
-		if w.Service != q.Service || !e.usable(now, w) || !w.Capacity.Fits(w.used.Add(size)) {
+	for _, w := range e.candidates[q.Service] {
+		if w.startsOut >= maxStartsOut || !w.Capacity.Fits(w.used.Add(size)) {
 			continue
 		}
 		if st.spec.MaxPerWorker > 0 && st.perWorker[w.ID] >= st.spec.MaxPerWorker {
@@ -267,7 +273,10 @@
 	case st.spec.Service:
 		// Services of a kind share workers, so that fillers which disturb one
 		// kind find workers without it.
-		score = w.sameKind(st.spec.Kind) - free
+		score = w.sameKind(st.spec.Kind) - free - demandWeight*e.displaced(now, st.spec.Kind, w)
+		if w.services == 0 && e.spare[w.Service] <= 0 {
+			score -= reservePenalty
+		}
 	case st.spec.Filler:
 		// Fillers get what the others leave of their declared processors.
 		taken := float64(w.used.MilliCores-w.services+w.fillers+st.spec.Size.MilliCores) + serviceLoad*float64(w.services)
@@ -285,7 +294,9 @@
 			score += besideServices
 		}
 	default:
-		score = free - float64(w.fillers)/capacity
+		// These disturb no service, so they leave the workers without services
+		// to the fillers that need them.
+		score = free - float64(w.fillers)/capacity - demandWeight*w.demand
 	}
 	if st.spec.DataRack != "" && slices.Contains(w.Labels, st.spec.DataRack) {
 		score += e.Limits.RackPenalty
@@ -293,6 +304,36 @@
 	return score, true
 }
 
+// findCandidates lists the workers of each pool that may get starts in this
+// decision, and counts how many of those without services the services may
+// still open.
+func (e *Engine) findCandidates(now time.Time) {
+	if e.candidates == nil {
+		e.candidates, e.spare = make(map[string][]*worker), make(map[string]int)
+	}
+	clear(e.blocked)
+	clear(e.spare)
+	for pool := range e.candidates {
+		e.candidates[pool] = e.candidates[pool][:0]
+	}
+	listed := make(map[string]int)
+	for _, w := range e.workers {
+		if e.usable(now, w) {
+			e.candidates[w.Service] = append(e.candidates[w.Service], w)
+		}
+		if !w.listed {
+			continue
+		}
+		listed[w.Service]++
+		if w.services == 0 {
+			e.spare[w.Service]++
+		}
+	}
+	for pool, n := range listed {
+		e.spare[pool] -= int(reservedShare * float64(n))
+	}
+}
+
 // sameKind returns the part of the worker's service tasks that are of a kind.
 func (w *worker) sameKind(kind string) float64 {
 	same := int64(0)
--- /dev/null
+++ b/guavaqueue/reserve_test.go
@@ -0,0 +1,69 @@
+package guavaqueue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
+)
+
+// keepApart makes a pair as suspect as one that was seen to disturb often.
+func (p *suspicions) keepApart(now time.Time, service, filler string) {
+	v := p.at(service, filler)
+	v.suspicion, v.strikes, v.retryAt = 1, maxRetryDoublings, now.Add(time.Hour)
+}
+
+func fillersOf(id, kind string, count int, work time.Duration) guavascale.Submission {
+	s := batchOf(id, 1, count, work)
+	s.Queue = "slow"
+	s.Steps[0].Filler, s.Steps[0].Kind = true, kind
+	s.Steps[0].Size.MilliCores = 1800
+	return s
+}
+
+// Guards against fillers that wait without end beside idle processors. The load:
+// services of several kinds take three quarters of the processors, ordinary
+// tasks come and go, most fillers may run anywhere, and one kind disturbs every
+// kind of service. It has only workers without services, which anything else
+// could use as well.
+func TestFillersThatDisturbFindRoom(t *testing.T) {
+	f := newFleet(t, 40)
+	for _, w := range f.workers {
+		w.w.Capacity = guavascale.Resources{MilliCores: 16_000, MemoryMB: 64_000}
+		w.tail = 5 * time.Millisecond
+	}
+	f.list()
+	const kinds = 10
+	for kind := range kinds {
+		f.engine.suspicions.keepApart(f.now, fmt.Sprint(kind), "heavy")
+	}
+	for i := range 12 {
+		s := serviceOf(fmt.Sprintf("service%d", i), 14)
+		s.Steps[0].Size.MilliCores, s.Steps[0].Kind = 3200, fmt.Sprint(i%kinds)
+		s.Steps[0].Target = 18 * time.Millisecond
+		f.submit(s)
+	}
+	f.run(2 * time.Second)
+	require.Equal(t, 12*14, f.running("service"))
+	f.submit(fillersOf("first", "heavy", 16, time.Second))
+	f.run(2 * time.Second)
+	for i := range 6 {
+		s := batchOf(fmt.Sprintf("ordinary%d", i), 1, 4, 8*time.Second)
+		s.Steps[0].Size.MilliCores = 2700
+		f.submit(s)
+	}
+	f.run(time.Second)
+	for i := range 14 {
+		f.submit(fillersOf(fmt.Sprintf("light%d", i), "light", 8, 8*time.Second))
+	}
+	f.run(time.Second)
+	f.submit(fillersOf("heavy", "heavy", 16, 2*time.Second))
+	f.run(3 * time.Second)
+	require.Equal(t, 14*8, f.running("light"))
+	state, ok := f.engine.State("heavy")
+	require.True(t, ok)
+	require.Equal(t, guavascale.SubmissionCompleted, state)
+}
