guavaqueue: slow all fillers beside a service that stays over its target

Five fillers of one step disturbed it; its latency fell slowly from 14 times the target, so nobody was blamed, and only the largest went, one with each list, which came once a second. Change: the platform's bound is a setting, Guarantees.DisturbMaxMs. After 0.4 of it all fillers on the worker are slowed and keep their place; lists of such a worker come every 500 ms. Test: TestDisturbedServiceIsRelievedInTime failed before (9 of 12 fillers work on).

--- a/cmd/guavascaled/queue.go
+++ b/cmd/guavascaled/queue.go
@@ -112,6 +112,7 @@
 			LeaseMax:    guavaconfig.Milliseconds(g.LeaseMaxMs),
 			StopGrace:   guavaconfig.Milliseconds(g.StopGraceMs),
 			OwnerLease:  ownerLease,
+			DisturbMax:  guavaconfig.Milliseconds(g.DisturbMaxMs),
 			Keep:        time.Duration(g.KeepSeconds * keepSlack * float64(time.Second)),
 			RackPenalty: g.RackPenalty,
 		},
--- a/guavaconfig/queue.go
+++ b/guavaconfig/queue.go
@@ -40,6 +40,8 @@
 		StopGraceMs float64
 		// TermSeconds is the time between SIGTERM and SIGKILL.
 		TermSeconds float64
+		// DisturbMaxMs is how long fillers may keep a service over its target.
+		DisturbMaxMs float64
 		// KeepSeconds is how long the state of an ended submission is kept.
 		KeepSeconds float64
 		// RackPenalty is how many times longer a task takes away from its data.
@@ -55,6 +57,7 @@
 	defaultLeaseMax    = 6000.0
 	defaultStopGrace   = 1000.0
 	defaultTerm        = 6.0
+	defaultDisturbMax  = 4000.0
 	defaultKeep        = 120.0
 	defaultRackPenalty = 2.0
 	defaultMemory      = 256.0
@@ -83,6 +86,7 @@
 	def(&s.Guarantees.LeaseMaxMs, defaultLeaseMax)
 	def(&s.Guarantees.StopGraceMs, defaultStopGrace)
 	def(&s.Guarantees.TermSeconds, defaultTerm)
+	def(&s.Guarantees.DisturbMaxMs, defaultDisturbMax)
 	def(&s.Guarantees.KeepSeconds, defaultKeep)
 	def(&s.Guarantees.RackPenalty, defaultRackPenalty)
 	def(&s.Guarantees.MemoryMB, defaultMemory)
@@ -101,7 +105,7 @@
 	}
 	g := s.Guarantees
 	for field, value := range map[string]float64{
-		"LeaseMaxMs": g.LeaseMaxMs, "StopGraceMs": g.StopGraceMs, "TermSeconds": g.TermSeconds,
+		"LeaseMaxMs": g.LeaseMaxMs, "StopGraceMs": g.StopGraceMs, "TermSeconds": g.TermSeconds, "DisturbMaxMs": g.DisturbMaxMs,
 		"KeepSeconds": g.KeepSeconds, "RackPenalty": g.RackPenalty, "MemoryMB": g.MemoryMB, "Cores": g.Cores,
 	} {
 		if value < 0 {
--- a/guavaqueue/fleet_test.go
+++ b/guavaqueue/fleet_test.go
@@ -90,6 +90,8 @@
 	fleetTick    = 25 * time.Millisecond
 	testStop     = 100 * time.Millisecond
 	testLeaseMax = 6 * time.Second
+	// testDisturbMax is that of the platform's smaller sites.
+	testDisturbMax = 4 * time.Second
 )
 
 var (
@@ -101,6 +103,7 @@
 	f := &fleet{
 		t: t, now: testEpoch, limits: Limits{
 			LeaseMax: testLeaseMax, StopGrace: testStop, OwnerLease: 5 * time.Second, Keep: time.Hour, RackPenalty: 2,
+			DisturbMax: testDisturbMax,
 		},
 		workers: make(map[guavascale.WorkerID]*fakeWorker), rows: make(map[string][]byte),
 		rand: rand.New(rand.NewPCG(1, 2)), done: make(map[guavascale.TaskRef]bool),
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -94,6 +94,9 @@
 		// OwnerLease is how long an owner that can't commit goes on giving
 		// orders.
 		OwnerLease time.Duration
+		// DisturbMax is how long fillers may keep a service over its target; 0
+		// stands for no bound.
+		DisturbMax time.Duration
 		// Keep is how long the state of an ended submission can be read.
 		Keep time.Duration
 		// RackPenalty is how many times longer a task takes away from its data
--- a/guavaqueue/interfere.go
+++ b/guavaqueue/interfere.go
@@ -89,8 +89,11 @@
 	// settleTime is how long a run, a stop or a pace takes to show in a figure.
 	settleTime = 600 * time.Millisecond
 	// patience is how long a service may miss its target beside fillers none of
-	// which is suspect, before the largest goes.
-	patience = 1500 * time.Millisecond
+	// which is suspect, before the largest goes. After a part of DisturbMax all
+	// are slowed: the figure lags by half a second, and a list comes every half
+	// second.
+	patience      = 1500 * time.Millisecond
+	slowAfterPart = 0.4
 	// slowPace is what a filler without checkpoints is slowed to, in percent.
 	slowPace = 5
 	// easeFactor multiplies the pace of a slowed filler at each calm figure, up
@@ -232,7 +235,10 @@
 		if w.missedSince.IsZero() {
 			w.missedSince = now
 		}
-		if relieve {
+		switch {
+		case e.Limits.DisturbMax > 0 && now.Sub(w.missedSince) >= e.slowAfter():
+			e.slowFillers(now, w)
+		case relieve:
 			e.relieve(now, w, l.Kind, up)
 		}
 	}
@@ -309,13 +315,27 @@
 	}
 }
 
+// slowAfter is how long a service may miss its target beside any filler.
+func (e *Engine) slowAfter() time.Duration {
+	return time.Duration(slowAfterPart * float64(e.Limits.DisturbMax))
+}
+
+// slowFillers slows all fillers of a worker. They keep their place, since most
+// of them are innocent and would only disturb others elsewhere.
+func (e *Engine) slowFillers(now time.Time, w *worker) {
+	for _, r := range w.runs {
+		if r.task.step.spec.Filler && r.phase == phaseRunning && r.pace > slowPace {
+			e.noteSetAside(now, r)
+			e.setPace(r, slowPace)
+		}
+	}
+	w.relievedAt = now
+}
+
 // setAside stops a filler so that it goes on elsewhere, or slows it when too
 // much work would be lost.
 func (e *Engine) setAside(now time.Time, r *run) {
-	e.note(Event{
-		Kind: EventSetAside, Submission: r.id.Task.Submission, Run: r.id, Worker: r.worker.ID,
-		Reason: "latency of a service in parts of its target", Value: r.worker.highest, Age: now.Sub(r.worker.observedAt),
-	})
+	e.noteSetAside(now, r)
 	if !r.task.step.spec.Checkpoints && r.percent >= nearEnd {
 		e.setPace(r, slowPace)
 		return
@@ -323,6 +343,13 @@
 	e.stop(now, r)
 }
 
+func (e *Engine) noteSetAside(now time.Time, r *run) {
+	e.note(Event{
+		Kind: EventSetAside, Submission: r.id.Task.Submission, Run: r.id, Worker: r.worker.ID,
+		Reason: "latency of a service in parts of its target", Value: r.worker.highest, Age: now.Sub(r.worker.observedAt),
+	})
+}
+
 // ease speeds slowed fillers up again beside services that are calm; those that
 // are suspect of disturbing one only to a pace that most services bear.
 func (e *Engine) ease(w *worker) {
--- a/guavaqueue/interfere_test.go
+++ b/guavaqueue/interfere_test.go
@@ -1,9 +1,14 @@
 package guavaqueue
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
 )
 
 // Guards against pairs that are kept apart without cause, and against those
@@ -74,3 +79,35 @@
 	}
 	assert.False(t, p.apart(now, "service", "a"))
 }
+
+// Guards against a service that stays over its target because the fillers beside
+// it go one by one: there were twelve of four kinds, and as the latency fell
+// slowly none of them was blamed.
+func TestDisturbedServiceIsRelievedInTime(t *testing.T) {
+	f := newFleet(t, 1)
+	w := f.workers["w0"]
+	w.w.Capacity = guavascale.Resources{MilliCores: 24_000, MemoryMB: 64_000}
+	w.tail = 5 * time.Millisecond
+	f.list()
+	s := serviceOf("service", 1)
+	s.Steps[0].Size.MilliCores, s.Steps[0].Kind, s.Steps[0].Target = 3000, "a", 18*time.Millisecond
+	f.submit(s)
+	f.run(time.Second)
+	for i := range 4 {
+		f.submit(fillersOf(fmt.Sprintf("filler%d", i), fmt.Sprint("kind", i), 3, time.Minute))
+	}
+	f.run(3 * time.Second)
+	require.Equal(t, 12, f.running("filler"))
+	w.tail = 300 * time.Millisecond
+	for end := f.now.Add(testDisturbMax - testStop); f.now.Before(end); {
+		f.run(100 * time.Millisecond)
+		w.tail = w.tail * 98 / 100
+	}
+	require.Greater(t, w.tail, s.Steps[0].Target)
+	for id := range w.runs {
+		if f.spec(id.Task).Filler {
+			pace, slowed := w.paces[id]
+			assert.True(t, slowed && pace <= slowPace, "run %v works on at pace %d", id, pace)
+		}
+	}
+}
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -52,10 +52,12 @@
 	orderTimeout = 1000 * time.Millisecond
 	// resendAfter is when an order without an answer is sent again.
 	resendAfter = 300 * time.Millisecond
-	// holdWait is how long a worker with runs may hold back its lists, and
-	// holdWaitIdle one without.
-	holdWait     = 1000 * time.Millisecond
-	holdWaitIdle = 2000 * time.Millisecond
+	// holdWait is how long a worker with runs may hold back its lists,
+	// holdWaitIdle one without, and holdWaitDisturbed one with a service that
+	// misses its target beside fillers.
+	holdWait          = 1000 * time.Millisecond
+	holdWaitIdle      = 2000 * time.Millisecond
+	holdWaitDisturbed = 500 * time.Millisecond
 	// holdSlack is added to the wait to bound the call.
 	holdSlack = 1000 * time.Millisecond
 	// holdPause spaces lists while ends wait to become durable, and calls to a
@@ -158,6 +160,8 @@
 		wait = 0
 	case len(w.runs) == 0:
 		wait = holdWaitIdle
+	case w.fillers > 0 && !w.missedSince.IsZero():
+		wait = holdWaitDisturbed
 	}
 	// A worker that did not answer gets no longer lease until it does, so that
 	// the end of its lease is a matter of time.
