guavaowner: weak daemons wait, and silence counts from the first late answer

A daemon with 0.19 of a core claimed the shard at 5.9 s, since it was the first to see the head unchanged; its commits took 350 ms, it yielded at 8.3 s, and a strong one began at 8.7 s. 101 requests of that time got 504. Change: the head tells the strongest daemon that the owner knows, and a daemon that is weaker by half waits 1.5 s more. An answer to a ping that is late by 120 ms makes the daemon read the head at once, so the head's silence is counted from then and not from the end of the ping. Equal daemons claim without a delay for strength. Test: TestCandidateClaims, 'a weak daemon lets others claim'.

--- a/guavaowner/guavaowner.go
+++ b/guavaowner/guavaowner.go
@@ -39,6 +39,9 @@
 		// is the daemon that it knows to be ready to take over, or "".
 		Left bool
 		Heir string `json:",omitempty"`
+		// Strongest is the processor time, in cores, of the strongest daemon
+		// that the owner knows, itself included.
+		Strongest float64 `json:",omitempty"`
 	}
 
 	// Candidate is a daemon that does not own the shard.
@@ -47,8 +50,12 @@
 		Owner   string
 		Address string
 		// Delay is added to the time of observation, so that candidates don't
-		// claim at the same moment and stronger hosts claim first.
-		Delay time.Duration
+		// claim at the same moment. FirstDelay is the same while there is no
+		// head that tells the strongest daemon; it lets stronger ones go first.
+		Delay      time.Duration
+		FirstDelay time.Duration
+		// Strength is the processor time of the daemon, in cores.
+		Strength float64
 		// ReadTook is how long the read of the head took that is observed.
 		ReadTook time.Duration
 
@@ -85,6 +92,10 @@
 	RefusedFor = 800 * time.Millisecond
 	// HeirFirst is how long an heir has to claim the shard before others do.
 	HeirFirst = 1500 * time.Millisecond
+	// WeakFor is how much longer a daemon waits that is weaker than the
+	// strongest one by WeakRatio: it could not keep up with the work.
+	WeakFor   = 1500 * time.Millisecond
+	WeakRatio = 1.5
 )
 
 // Error names the owner.
@@ -111,16 +122,21 @@
 // Reset starts the observation anew, after a sign of life of the owner.
 func (c *Candidate) Reset() { c.version, c.since = 0, time.Time{} }
 
-// Observe takes in a read of the head; a version of 0 stands for a missing row.
-// Refused tells that the owner's host refused a connection since. It returns
-// the claim to commit, or nil.
-func (c *Candidate) Observe(now time.Time, h Head, version uint64, refused bool) *Chain {
+// See takes in a read of the head; a version of 0 stands for a missing row.
+func (c *Candidate) See(now time.Time, h Head, version uint64) {
 	if version != c.version || c.since.IsZero() {
 		c.version, c.since, c.head = version, now, h
 	}
-	silent := now.Sub(c.since)
+}
+
+// Observe takes in a read of the head as See does. Refused tells that the
+// owner's host refused a connection since. It returns the claim to commit, or
+// nil.
+func (c *Candidate) Observe(now time.Time, h Head, version uint64, refused bool) *Chain {
+	c.See(now, h, version)
+	silent := now.Sub(c.since) - c.weakFor(h)
 	switch {
-	case version == 0 && silent >= c.Delay, h.Address == c.Address && h.Owner != c.Owner:
+	case version == 0 && silent >= c.FirstDelay, h.Address == c.Address && h.Owner != c.Owner:
 		// A process that owned the shard from this address has ended, since
 		// this one has its address now.
 		fallthrough
@@ -134,6 +150,14 @@
 	}
 }
 
+// weakFor returns how much longer a weak daemon waits than others.
+func (c *Candidate) weakFor(h Head) time.Duration {
+	if h.Strongest <= WeakRatio*c.Strength {
+		return 0
+	}
+	return WeakFor
+}
+
 // deferTo returns how much longer a candidate waits for the heir to claim, so
 // that the claims of all candidates don't hold each other up in a slow store.
 func (c *Candidate) deferTo(h Head) time.Duration {
--- a/guavaowner/guavaowner_test.go
+++ b/guavaowner/guavaowner_test.go
@@ -28,24 +28,33 @@
 	heir.Left, heir.Heir = true, "me-1"
 	third := heir
 	third.Heir = "third"
+	strong := owned
+	strong.Strongest = 0.8
 	mine := owned
 	mine.Owner, mine.Address = "me-0", "here"
 	cases := map[string][]look{
-		"no head":                        {{claims: true}},
-		"an owner that commits":          {{head: owned, version: 1}, {at: 3 * time.Second, head: owned, version: 2}},
-		"an owner that fell silent":      {{head: owned, version: 1}, {at: time.Second, head: owned, version: 1}, {at: SilentFor, head: owned, version: 1, claims: true}},
-		"a slow store":                   {{head: owned, version: 1}, {at: SilentFor, head: owned, version: 1}, {at: 2 * SilentFor, head: owned, version: 1, claims: true}},
-		"an owner whose process ended":   {{head: owned, version: 1, refused: true}, {at: RefusedFor, head: owned, version: 1, refused: true, claims: true}},
-		"an owner that left":             {{head: left, version: 1, claims: true}},
-		"an owner that left to me":       {{head: heir, version: 1, claims: true}},
-		"an owner that left to a third":  {{head: third, version: 1}, {at: time.Second, head: third, version: 1}, {at: HeirFirst, head: third, version: 1, claims: true}},
-		"an earlier process of mine":     {{head: mine, version: 1, claims: true}},
-		"a commit restarts the clock":    {{head: owned, version: 1}, {at: time.Second, head: owned, version: 2}, {at: SilentFor, head: owned, version: 2}},
-		"a slow owner keeps its host up": {{head: owned, version: 1}, {at: RefusedFor, head: owned, version: 1}},
+		"no head":                         {{claims: true}},
+		"an owner that commits":           {{head: owned, version: 1}, {at: 3 * time.Second, head: owned, version: 2}},
+		"an owner that fell silent":       {{head: owned, version: 1}, {at: time.Second, head: owned, version: 1}, {at: SilentFor, head: owned, version: 1, claims: true}},
+		"a slow store":                    {{head: owned, version: 1}, {at: SilentFor, head: owned, version: 1}, {at: 2 * SilentFor, head: owned, version: 1, claims: true}},
+		"an owner whose process ended":    {{head: owned, version: 1, refused: true}, {at: RefusedFor, head: owned, version: 1, refused: true, claims: true}},
+		"an owner that left":              {{head: left, version: 1, claims: true}},
+		"an owner that left to me":        {{head: heir, version: 1, claims: true}},
+		"an owner that left to a third":   {{head: third, version: 1}, {at: time.Second, head: third, version: 1}, {at: HeirFirst, head: third, version: 1, claims: true}},
+		"an earlier process of mine":      {{head: mine, version: 1, claims: true}},
+		"a commit restarts the clock":     {{head: owned, version: 1}, {at: time.Second, head: owned, version: 2}, {at: SilentFor, head: owned, version: 2}},
+		"a weak daemon lets others claim": {{head: strong, version: 1}, {at: SilentFor, head: strong, version: 1}, {at: SilentFor + WeakFor, head: strong, version: 1, claims: true}},
+		"an equal daemon claims":          {{head: strong, version: 1}, {at: SilentFor, head: strong, version: 1, claims: true}},
+		"a slow owner keeps its host up":  {{head: owned, version: 1}, {at: RefusedFor, head: owned, version: 1}},
 	}
 	for name, looks := range cases {
 		t.Run(name, func(t *testing.T) {
 			c := Candidate{Owner: "me-1", Address: "here"}
+			if name == "a weak daemon lets others claim" {
+				c.Strength = 0.19
+			} else {
+				c.Strength = 0.7
+			}
 			if name == "a slow store" {
 				c.ReadTook = 300 * time.Millisecond
 			}
--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -68,10 +68,12 @@
 const (
 	// pingInterval spaces the signs of life that a daemon asks of the owner.
 	pingInterval = 300 * time.Millisecond
+	// pingLate is when an answer to a ping is late: it takes 5 ms.
+	pingLate = 120 * time.Millisecond
 	// headInterval spaces reads of the head without a sign of life.
 	headInterval = 200 * time.Millisecond
 	// claimSpread is how long a daemon without processor time would wait before
-	// a claim, and halfStrength the number of cores with which it waits half as
+	// the first claim, and halfStrength the number of cores with which it waits half as
 	// long. claimJitter separates equal daemons.
 	claimSpread  = 600 * time.Millisecond
 	halfStrength = 0.3
@@ -121,12 +123,12 @@
 	defer close(s.left)
 	c := &guavaowner.Candidate{
 		Owner: s.Instance, Address: s.Address,
-		Delay: s.claimDelay(),
+		Delay: claimDelay(), FirstDelay: s.firstClaimDelay(), Strength: s.Strength,
 	}
 	refused := false
 	for ctx.Err() == nil && !s.leaving.Load() {
 		if addr := s.route.Load(); addr != nil && *addr != s.Address {
-			err := s.peers.ping(ctx, *addr, s.pingIn())
+			err := s.watch(ctx, c, *addr)
 			if err == nil {
 				c.Reset()
 				refused = false
@@ -149,11 +151,30 @@
 	}
 }
 
+// watch asks the owner for a sign of life. When the answer is late it reads the
+// head at once, so that the owner's silence counts from then.
+func (s *Scheduler) watch(ctx context.Context, c *guavaowner.Candidate, addr string) error {
+	answer := make(chan error, 1)
+	go func() { answer <- s.peers.ping(ctx, addr, s.pingIn()) }()
+	late := time.NewTimer(pingLate)
+	defer late.Stop()
+	select {
+	case err := <-answer:
+		return err
+	case <-late.C:
+	}
+	h, version, err := s.readHead(ctx, pingTimeout-pingLate)
+	if err == nil {
+		c.See(s.Clock.Now(), h, version)
+	}
+	return <-answer
+}
+
 // observe reads the head and claims the shard if it is free. It returns nil
 // unless this daemon owns the shard now.
 func (s *Scheduler) observe(ctx context.Context, c *guavaowner.Candidate, refused bool) *guavaowner.Chain {
 	begun := s.Clock.Now()
-	h, version, err := s.readHead(ctx)
+	h, version, err := s.readHead(ctx, tableTimeout)
 	c.ReadTook = s.Clock.Now().Sub(begun)
 	if err != nil {
 		// The owner may be cut off from the store as well, so that nothing can
@@ -178,15 +199,15 @@
 		return claim
 	}
 	s.Log.Info().Uint64("Epoch", claim.Epoch).Err(err).Msg("scheduler: the claim was not confirmed")
-	h, version, err = s.readHead(ctx)
+	h, version, err = s.readHead(ctx, tableTimeout)
 	if err == nil && h.Owner == s.Instance && h.Epoch == claim.Epoch {
 		return &guavaowner.Chain{Head: h, Version: version}
 	}
 	return nil
 }
 
-func (s *Scheduler) readHead(ctx context.Context) (guavaowner.Head, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+func (s *Scheduler) readHead(ctx context.Context, timeout time.Duration) (guavaowner.Head, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	row, err := s.Table.Get(ctx, guavaowner.HeadKey)
 	var missing *guavascale.NotFoundError
@@ -200,10 +221,15 @@
 	return h, row.Version, err
 }
 
-// claimDelay returns how long the daemon lets stronger ones claim first.
-func (s *Scheduler) claimDelay() time.Duration {
+func claimDelay() time.Duration {
+	return time.Duration(rand.Float64() * float64(claimJitter))
+}
+
+// firstClaimDelay returns how long the daemon lets stronger ones claim a shard
+// that has no head yet.
+func (s *Scheduler) firstClaimDelay() time.Duration {
 	share := halfStrength / (halfStrength + s.Strength)
-	return time.Duration(share*float64(claimSpread) + rand.Float64()*float64(claimJitter))
+	return time.Duration(share*float64(claimSpread)) + claimDelay()
 }
 
 func (s *Scheduler) pingIn() pingIn { return pingIn{Instance: s.Instance, Strength: s.Strength} }
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -234,9 +234,10 @@
 	if b != nil {
 		writes = b.Writes
 	}
-	heir := ""
-	if leave {
-		heir, _ = t.scheduler.heirs.best(t.scheduler.Clock.Now())
+	heir, strongest := t.scheduler.heirs.best(t.scheduler.Clock.Now())
+	t.chain.Strongest = max(strongest, t.scheduler.Strength)
+	if !leave {
+		heir = ""
 	}
 	c := t.chain.Next(newID(), writes, leave, heir)
 	sent := false
@@ -279,7 +280,7 @@
 func (t *term) resolve(ctx context.Context) (bool, error) {
 	for ctx.Err() == nil {
 		begun := t.scheduler.Clock.Now()
-		h, version, err := t.scheduler.readHead(ctx)
+		h, version, err := t.scheduler.readHead(ctx, tableTimeout)
 		if err != nil {
 			sleep(ctx, commitPause)
 			continue
