guavaqueue: fillers prefer workers whose services are far below their targets

The load of services rises and falls by half within 14 s, so a worker that has just become calm is the next to be disturbed. Change: the score of a worker falls by its highest latency in parts of the target.

--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -29,6 +29,9 @@
 	// besideServices prefers workers with services that a filler does not
 	// disturb, which leaves the others to tasks that need declared processors.
 	besideServices = 0.3
+	// latencyWeight prefers workers whose services are furthest below their
+	// targets, since their load rises and falls within seconds.
+	latencyWeight = 1.0
 	// failedPenalty puts workers on which the task has failed last, and
 	// suspectPenalty, for each failure since the last success, those that may
 	// fail everything.
@@ -291,7 +294,7 @@
 		// are left to them.
 		score = left - demandWeight*w.demand
 		if w.services > 0 {
-			score += besideServices
+			score += besideServices - latencyWeight*w.highest
 		}
 	default:
 		// These disturb no service, so they leave the workers without services
