guavasoak: overlapping faults never run two processes of a daemon

Two faults that end one daemon overlapped, both started it again, and the first process was never ended; ten such processes were left behind. A soak beside it could take a port of a daemon that was down, too. Change: a daemon that runs is not started again, starts and ends of one daemon take turns, and daemons listen on a loopback IP of their soak.

--- a/cmd/guavasoak/process.go
+++ b/cmd/guavasoak/process.go
@@ -14,21 +14,28 @@
 
 // process is a daemon and its proxy to the store.
 type process struct {
-	name     string
-	program  string
-	settings string
-	log      string
-	callers  string
-	ready    string
-	store    *proxy
+	name    string
+	program string
+	args    []string
+	log     string
+	callers string
+	ready   string
+	store   *proxy
 
+	// life is held while the process starts or ends, so that overlapping faults
+	// never run two processes of one daemon.
+	life   sync.Mutex
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	starts int
 }
 
+// freeAddress returns an address for a daemon. It is on a loopback IP of this
+// soak alone: outgoing connections and other soaks use 127.0.0.1 and could take
+// the port while the daemon is down.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.1:0", 1+pid>>8&0x7f, pid&0xff))
 	if err != nil {
 		return "", err
 	}
@@ -56,24 +63,30 @@
 	if err != nil {
 		return nil, err
 	}
+	settings := filepath.Join(dir, name+".json")
 	p := &process{
-		name: name, program: program, settings: filepath.Join(dir, name+".json"), log: filepath.Join(dir, name+".log"),
+		name: name, program: program, args: []string{"queue", "--config", settings}, log: filepath.Join(dir, name+".log"),
 		callers: addrs[0], ready: addrs[1], store: proxy,
 	}
-	return p, os.WriteFile(p.settings, data, 0o600)
+	return p, os.WriteFile(settings, data, 0o600)
 }
 
-// start starts the daemon. Its output is appended to its log.
+// start starts the daemon unless it runs. Its output is appended to its log.
 func (p *process) start() error {
+	p.life.Lock()
+	defer p.life.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = out.Close() }()
 	p.starts++
-	p.cmd = exec.Command(p.program, "queue", "--config", p.settings)
+	p.cmd = exec.Command(p.program, p.args...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	return p.cmd.Start()
 }
@@ -91,6 +104,8 @@
 // stop ends the process with a signal and waits for it; a process that is still
 // there after limit is killed.
 func (p *process) stop(sig syscall.Signal, limit time.Duration) error {
+	p.life.Lock()
+	defer p.life.Unlock()
 	p.mu.Lock()
 	cmd := p.cmd
 	p.cmd = nil
