--- a/guavaqueue/interfere.go
+++ b/guavaqueue/interfere.go
@@ -66,6 +66,8 @@
 	// is being disturbed, and below which it is not.
 	hotRatio  = 0.9
 	calmRatio = 0.7
+	// startRatio is the part of the target up to which fillers may start.
+	startRatio = 0.8
 	// falling is the part of the last figure below which a latency falls, so
 	// that its cause has gone.
 	falling = 0.95
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -287,7 +287,7 @@
 		if left < 0 {
 			return 0, false
 		}
-		if e.apart(now, st.spec.Kind, w) || w.services > 0 && w.highest > calmRatio {
+		if e.apart(now, st.spec.Kind, w) || w.services > 0 && w.highest > startRatio {
 			return 0, false
 		}
 		// Workers that other kinds depend on, such as those without services,
