guavaqueue: a new owner waits only for workers that may hold runs

The time until which the former owner may have given orders was 5 s after its last commit even when it had left or was the former process of the same host. Change: a leaving worker without runs and with all ends durable leaves the fleet row; the former owner was active until the claim at the latest if it had left or ended. Tests: TestNewOwnerDoesNotWaitForEmptiedWorker failed before; TestNewOwnerWaitsForEndsOfEmptiedWorker fails without the condition on ends (a done task ran again); TestLastActive.

--- a/guavaowner/guavaowner.go
+++ b/guavaowner/guavaowner.go
@@ -119,6 +119,18 @@
 // owner's last commit had begun by then.
 func (c *Candidate) Since() time.Time { return c.since }
 
+// LastActive returns the latest moment at which the owner of the observed head
+// may have given an order, for a claim that is made now. OwnerLease is how long
+// an owner goes on after its last commit.
+func (c *Candidate) LastActive(now time.Time, ownerLease time.Duration) time.Time {
+	until := c.since.Add(ownerLease)
+	stopped := c.head.Left || c.head.Address == c.Address
+	if stopped && now.Before(until) {
+		return now
+	}
+	return until
+}
+
 // Reset starts the observation anew, after a sign of life of the owner.
 func (c *Candidate) Reset() { c.version, c.since = 0, time.Time{} }
 
--- a/guavaowner/guavaowner_test.go
+++ b/guavaowner/guavaowner_test.go
@@ -122,3 +122,24 @@
 	require.NoError(t, err)
 	assert.Equal(t, Head{Epoch: 2, Owner: "me", Number: 6, Left: true, Heir: "heir"}, h)
 }
+
+// Guards against a new owner that waits for orders which nobody gives any more,
+// and against one that doesn't wait for those of an owner that is cut off.
+func TestLastActive(t *testing.T) {
+	const lease, silent = 5 * time.Second, 2 * time.Second
+	tests := map[string]struct {
+		head Head
+		want time.Duration
+	}{
+		"silent owner":         {Head{Owner: "other-1", Address: "other"}, lease},
+		"owner that left":      {Head{Owner: "other-1", Address: "other", Left: true}, silent},
+		"process of this host": {Head{Owner: "me-0", Address: "here"}, silent},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := Candidate{Owner: "me-1", Address: "here"}
+			c.See(start, tt.head, 1)
+			assert.Equal(t, start.Add(tt.want), c.LastActive(start.Add(silent), lease))
+		})
+	}
+}
--- a/guavaqueue/failure_test.go
+++ b/guavaqueue/failure_test.go
@@ -409,3 +409,62 @@
 	assert.Equal(t, 3, f.starts)
 	assert.Equal(t, map[guavascale.SubmissionState]int{guavascale.SubmissionFailed: 1}, f.states())
 }
+
+// Guards against a new owner that waits for the lease of a worker which had been
+// emptied and has left: all inherited work stood still for eleven seconds.
+func TestNewOwnerDoesNotWaitForEmptiedWorker(t *testing.T) {
+	f := newFleet(t, 3)
+	f.submit(batchOf("a", 4, 3, 500*time.Millisecond))
+	f.run(200 * time.Millisecond)
+	w := f.workers["w0"]
+	w.w.Leaving = true
+	f.list()
+	f.run(800 * time.Millisecond)
+	require.Empty(t, w.runs)
+	w.gone = true
+	f.own()
+	f.run(3 * time.Second)
+	assert.Equal(t, map[guavascale.SubmissionState]int{guavascale.SubmissionCompleted: 1}, f.states())
+}
+
+// Guards against a second run of a done task: the worker that was emptied knows
+// of an end that did not fit into the last commit, and answers the new owner late.
+func TestNewOwnerWaitsForEndsOfEmptiedWorker(t *testing.T) {
+	f := newFleet(t, 2)
+	f.submit(batchOf("a", 1, 1, 500*time.Millisecond))
+	f.run(200 * time.Millisecond)
+	w := f.workers["w0"]
+	if len(w.runs) == 0 {
+		w = f.workers["w1"]
+	}
+	require.Len(t, w.runs, 1)
+	w.w.Leaving = true
+	f.list()
+	f.hold = true
+	f.submit(batchOf("b", 1, 1, time.Minute))
+	f.tick()
+	require.NotNil(t, f.held)
+	for i := range batchRows {
+		s := batchOf(fmt.Sprintf("c%d", i), 1, 1, time.Minute)
+		s.Steps[0].Size = guavascale.Resources{MilliCores: 1, MemoryMB: 1}
+		f.submit(s)
+	}
+	f.run(time.Second)
+	require.Empty(t, w.runs)
+	f.hold = false
+	f.commit()
+	f.commit()
+	w.cut = true
+	f.own()
+	f.run(time.Second)
+	for _, o := range f.workers {
+		if o != w {
+			assert.NotContains(t, o.highest, guavascale.TaskRef{Submission: "a"}, "it is done")
+		}
+	}
+	w.cut = false
+	f.run(time.Second)
+	state, ok := f.engine.State("a")
+	assert.True(t, ok)
+	assert.Equal(t, guavascale.SubmissionCompleted, state)
+}
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -127,8 +127,13 @@
 	if e.fleetDirty {
 		b.fleet = make(map[guavascale.WorkerID]bool, len(e.workers)+len(e.missing))
 		row := fleetRow{}
-		for id := range e.workers {
-			b.fleet[id] = true
+		for id, w := range e.workers {
+			if w.mayHoldRuns() {
+				b.fleet[id] = true
+				continue
+			}
+			// It gets no start before it is in the row again.
+			w.durable = false
 		}
 		for id := range e.missing {
 			b.fleet[id] = true
@@ -288,7 +293,7 @@
 		e.fleet = b.fleet
 		for id, w := range e.workers {
 			w.durable = e.fleet[id]
-			if w.listed && !w.durable {
+			if w.listed && !w.durable && w.mayHoldRuns() {
 				e.fleetDirty = true
 			}
 		}
@@ -319,8 +324,12 @@
 		}
 	}
 	for w, ends := range b.seen {
-		if w.Born == ends.born {
-			w.acked = max(w.acked, ends.number)
+		if w.Born != ends.born {
+			continue
+		}
+		w.acked = max(w.acked, ends.number)
+		if w.durable && !w.mayHoldRuns() {
+			e.fleetDirty = true
 		}
 	}
 }
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -49,11 +49,18 @@
 	}
 	w.Born = max(w.Born, ws.Born)
 	ws.Worker, ws.listed = w, true
-	if !ws.durable {
+	if !ws.durable && ws.mayHoldRuns() {
 		e.fleetDirty = true
 	}
 }
 
+// mayHoldRuns reports whether the worker holds runs or may get some, or knows of
+// ends that are not durable. A new owner waits for such workers, but not for one
+// that has been emptied before it leaves.
+func (w *worker) mayHoldRuns() bool {
+	return !w.Leaving || len(w.runs) > 0 || w.seen > w.acked
+}
+
 // RemoveWorkers notes which workers the platform's list still holds. The runs of
 // the others count until their lease must have ended.
 func (e *Engine) RemoveWorkers(listed map[guavascale.WorkerID]bool) {
@@ -388,6 +395,9 @@
 		return
 	}
 	delete(w.runs, r.id)
+	if w.durable && !w.mayHoldRuns() {
+		e.fleetDirty = true
+	}
 	w.count(t, -1)
 	if t.step.perWorker[w.ID]--; t.step.perWorker[w.ID] <= 0 {
 		delete(t.step.perWorker, w.ID)
--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -146,7 +146,7 @@
 			sleep(ctx, headInterval)
 			continue
 		}
-		s.own(ctx, chain, c.Since())
+		s.own(ctx, chain, c.LastActive(s.Clock.Now(), s.Limits.OwnerLease))
 		c.Reset()
 	}
 }
@@ -240,8 +240,9 @@
 	return s.Table.Commit(ctx, c)
 }
 
-// own runs a term until it ends.
-func (s *Scheduler) own(ctx context.Context, chain *guavaowner.Chain, since time.Time) {
+// own runs a term until it ends. The former owner gave its last order at
+// lastActive at the latest.
+func (s *Scheduler) own(ctx context.Context, chain *guavaowner.Chain, lastActive time.Time) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t := &term{
@@ -258,7 +259,7 @@
 	t.committed(s.Clock.Now())
 	rows, err := s.load(ctx)
 	if err == nil {
-		err = t.engine.Restore(s.Clock.Now(), rows, since.Add(s.Limits.OwnerLease))
+		err = t.engine.Restore(s.Clock.Now(), rows, lastActive)
 	}
 	if err != nil {
 		log.Error().Err(err).Msg("scheduler: the rows of the shard can't be loaded; the claim is given up")
