guavaqueue: an owner that may be replaced ends no lease and uses no new boot

The owner was frozen from 9.6 s to 15.6 s and woke within the 5 s in which it goes on without a commit. It took the lease of a worker as over that its successor had extended, and started the task on a worker that had started again and so forgotten its successor's token. Change: while another daemon may own the shard (1.08 s after the last commit) no lease counts as over, also those of a former owner, and a worker gets starts only if its current boot was known before. Orders that are a second old when they are sent are not sent. The soak tells when a contradicting state was asked for. Tests: TestLeaseIsNotOverForAnOwnerThatMayBeReplaced and TestUnsureOwnerUsesNoRestartedWorker failed before.

--- a/cmd/guavasoak/callers.go
+++ b/cmd/guavasoak/callers.go
@@ -28,6 +28,8 @@
 		// rejected is set while every answer has said that it does not run.
 		rejected bool
 		state    string
+		// endedAt is when a final state was first told.
+		endedAt time.Time
 	}
 )
 
@@ -90,6 +92,7 @@
 
 // poll asks for the state of a submission and checks the answer.
 func (c *callers) poll(p *process, id string) (finding string) {
+	begun := time.Now()
 	status, body := c.call(p, fasthttp.MethodGet, id, nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -105,7 +108,11 @@
 			return fmt.Sprintf("submission %s: the state at %s can't be read: %v", id, p.name, err)
 		}
 		if ended(t.state) && state != t.state {
-			return fmt.Sprintf("submission %s was %s and is now %s", id, t.state, state)
+			return fmt.Sprintf("submission %s was %s and is now %s at %s; asked %s after that was told, answered in %s",
+				id, t.state, state, p.name, begun.Sub(t.endedAt).Round(time.Millisecond), time.Since(begun).Round(time.Millisecond))
+		}
+		if ended(state) && !ended(t.state) {
+			t.endedAt = time.Now()
 		}
 		t.state = state
 	}
--- a/guavaqueue/dump.go
+++ b/guavaqueue/dump.go
@@ -101,7 +101,7 @@
 		return "the queue is not in the configuration"
 	}
 	for _, t := range st.tasks {
-		if len(t.runs) == 0 && t.inherited && !e.inheritedKnown(now) {
+		if len(t.runs) == 0 && t.inherited && !e.inheritedKnown() {
 			return "it may still run on a worker that has not answered this owner"
 		}
 	}
--- a/guavaqueue/failure_test.go
+++ b/guavaqueue/failure_test.go
@@ -468,3 +468,38 @@
 	assert.True(t, ok)
 	assert.Equal(t, guavascale.SubmissionCompleted, state)
 }
+
+// Guards against an owner that was frozen, was replaced meanwhile, and takes a
+// lease as over which its successor has extended: it started a service task a
+// second time on a worker that the successor had not reached yet.
+func TestLeaseIsNotOverForAnOwnerThatMayBeReplaced(t *testing.T) {
+	f := newFleet(t, 2)
+	f.submit(serviceOf("a", 1))
+	f.run(time.Second)
+	for _, w := range f.workers {
+		w.cut = len(w.runs) > 0
+	}
+	f.unsure = true
+	f.run(2 * testLeaseMax)
+	assert.Equal(t, 1, f.starts)
+	f.unsure = false
+	f.run(2 * time.Second)
+	assert.Equal(t, 2, f.starts, "it runs elsewhere once the owner is sure")
+}
+
+// Guards against starts on a worker that has started again and forgotten the
+// token of a later owner, by an owner that may have been replaced.
+func TestUnsureOwnerUsesNoRestartedWorker(t *testing.T) {
+	f := newFleet(t, 1)
+	f.submit(serviceOf("a", 1))
+	f.run(time.Second)
+	require.Equal(t, 1, f.starts)
+	f.unsure = true
+	f.boot(f.workers["w0"])
+	f.list()
+	f.run(2 * time.Second)
+	assert.Equal(t, 1, f.starts)
+	f.unsure = false
+	f.run(time.Second)
+	assert.Equal(t, 2, f.starts)
+}
--- a/guavaqueue/fleet_test.go
+++ b/guavaqueue/fleet_test.go
@@ -27,6 +27,8 @@
 		rows    map[string][]byte
 		// storeDown refuses commits, storeLost applies them without an answer.
 		storeDown bool
+		// unsure is set while another daemon may own the shard.
+		unsure bool
 		// hold keeps the commit in progress, which is held.
 		hold    bool
 		held    *Batch
@@ -193,7 +195,7 @@
 	f.now = f.now.Add(fleetTick)
 	f.work()
 	f.deliverLate()
-	for _, o := range f.engine.Orders(f.now, true) {
+	for _, o := range f.engine.Orders(f.now, true, !f.unsure) {
 		f.take(o)
 	}
 	f.answerHolds()
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -50,6 +50,8 @@
 		orders    []Order
 		// deposed is set when a worker has seen a higher token.
 		deposed bool
+		// sole is set while no other daemon can own the shard.
+		sole bool
 
 		dirty      []*submission
 		dirtySince time.Time
@@ -229,6 +231,10 @@
 		// known is set when the worker has answered under this token since its
 		// runs were last written off.
 		known bool
+		// sure is set when the current start of the worker was known while no
+		// other daemon could own the shard. A worker that starts again forgets
+		// the token of a later owner and would take any order.
+		sure bool
 		// durable is set when the durable fleet holds the worker.
 		durable bool
 		runs    map[guavascale.Run]*run
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -76,17 +76,21 @@
 }
 
 // Orders decides what to do now and returns the orders. MayAct tells whether
-// the owner may give orders; without it only time is accounted for.
-func (e *Engine) Orders(now time.Time, mayAct bool) []Order {
+// the owner may give orders; without it only time is accounted for. Sole tells
+// whether no other daemon can own the shard yet: without it another owner may
+// have extended leases, and none counts as over.
+func (e *Engine) Orders(now time.Time, mayAct, sole bool) []Order {
 	for s := range e.scheduled {
 		if !s.state.Ended() {
 			e.openOccurrences(now, s)
 		}
 	}
+	e.sole = sole
 	for id, w := range e.workers {
-		e.checkLease(now, id, w)
+		w.sure = w.known && (sole || w.sure)
+		e.checkLease(now, id, w, sole)
 	}
-	if len(e.missing) > 0 && now.After(e.missingUntil) {
+	if sole && len(e.missing) > 0 && now.After(e.missingUntil) {
 		clear(e.missing)
 		e.fleetDirty = true
 	}
@@ -113,8 +117,8 @@
 
 // checkLease writes off the runs of a worker whose lease must have ended, and
 // forgets a worker that is gone.
-func (e *Engine) checkLease(now time.Time, id guavascale.WorkerID, w *worker) {
-	if len(w.runs) > 0 && w.lapsed(now) {
+func (e *Engine) checkLease(now time.Time, id guavascale.WorkerID, w *worker, sole bool) {
+	if sole && len(w.runs) > 0 && w.lapsed(now) {
 		for _, r := range w.runs {
 			e.lose(now, r, "the lease has ended")
 		}
@@ -242,7 +246,7 @@
 				}
 			case r.phase == phaseStarting && r.unanswered:
 				unsettled++
-				if !r.orderOut && now.Sub(r.sent) > resendAfter && w.known && w.misses == 0 {
+				if !r.orderOut && now.Sub(r.sent) > resendAfter && w.known && (e.sole || w.sure) && w.misses == 0 {
 					e.sendStart(now, r)
 				}
 			}
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -148,7 +148,7 @@
 		if st.waiting == 0 {
 			return
 		}
-		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.inherited && !e.inheritedKnown(now) {
+		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.inherited && !e.inheritedKnown() {
 			continue
 		}
 		w := e.choose(now, st, q, t)
@@ -163,7 +163,7 @@
 func (e *Engine) placeGang(now time.Time, st *step, q *guavascale.Queue) {
 	attempt := int64(0)
 	for _, t := range st.tasks {
-		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.inherited && !e.inheritedKnown(now) {
+		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.inherited && !e.inheritedKnown() {
 			return
 		}
 		attempt = max(attempt, t.attempt)
@@ -199,7 +199,7 @@
 
 // usable reports whether the worker may get any start now.
 func (e *Engine) usable(now time.Time, w *worker) bool {
-	return w.listed && w.known && w.durable && !w.Leaving && w.misses == 0 &&
+	return w.listed && w.known && (e.sole || w.sure) && w.durable && !w.Leaving && w.misses == 0 &&
 		!now.Before(w.avoidUntil) && w.startsOut < maxStartsOut &&
 		(e.catalog == nil || !e.catalog.Closed[w.Zone])
 }
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -86,7 +86,7 @@
 	e.noteWorker(now, w, "Restarted", "")
 	w.Born, w.seen, w.acked, w.leaseEnd = born, 0, 0, 0
 	w.clockAt, w.holdAt = time.Time{}, time.Time{}
-	w.known, w.holdOut, w.misses = false, false, 0
+	w.known, w.sure, w.holdOut, w.misses = false, false, false, 0
 }
 
 // heard notes a reading of a worker's clock in the answer to a call that left at
@@ -105,7 +105,7 @@
 		}
 		if read < w.clock+passed-clockMargin || read > w.clockNow(now)+clockMargin {
 			// The next list tells what is left of its runs.
-			w.seen, w.acked, w.known = 0, 0, false
+			w.seen, w.acked, w.known, w.sure = 0, 0, false, false
 			w.clockAt = time.Time{}
 		}
 	}
@@ -353,9 +353,7 @@
 func (e *Engine) found(id guavascale.WorkerID) { delete(e.missing, id) }
 
 // inheritedKnown reports whether every run of an earlier owner is known.
-func (e *Engine) inheritedKnown(now time.Time) bool {
-	return len(e.missing) == 0 || now.After(e.missingUntil)
-}
+func (e *Engine) inheritedKnown() bool { return len(e.missing) == 0 }
 
 func (e *Engine) addRun(r *run) {
 	t := r.task
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -61,6 +61,10 @@
 	// tellLease is less than guavaowner.SilentFor and staleCommit by a tenth, for
 	// clocks of different speed.
 	tellLease = 1080 * time.Millisecond
+	// orderAge is how old an order may be when it is sent. It is older when the
+	// host was frozen in between; the worker may have started again since, and
+	// have forgotten the token of a later owner.
+	orderAge = time.Second
 	// yieldAfter is how long an owner keeps the shard before it yields to a
 	// daemon that is stronger by yieldRatio.
 	yieldAfter = 2 * time.Second
@@ -115,7 +119,7 @@
 }
 
 // mayTell reports whether no other daemon can have claimed the shard yet, so that
-// what the engine holds is the truth. A claim takes a head that is unchanged for
+// what the engine holds is the truth and leases end as it granted them. A claim takes a head that is unchanged for
 // guavaowner.SilentFor, or an owner that has told its peers that commits fail.
 func (t *term) mayTell(now time.Time) bool { return t.commitAge(now) < tellLease }
 
@@ -163,7 +167,7 @@
 		t.scheduler.Log.Info().Interface("Stats", stats).Dur("CommitAgeMs", t.commitAge(now)).
 			Strs("Apart", t.engine.Apart()).Msg("scheduler: state of the shard")
 	}
-	for _, o := range t.engine.Orders(now, t.mayAct(now) && !leaving) {
+	for _, o := range t.engine.Orders(now, t.mayAct(now) && !leaving, t.mayTell(now)) {
 		t.dispatch(ctx, o)
 	}
 	t.logEvents(now)
@@ -325,7 +329,7 @@
 	pool.Submit(func() {
 		out := guavaqueue.Outcome{Err: context.Canceled}
 		now := t.scheduler.Clock.Now()
-		if ctx.Err() == nil && t.mayAct(now) {
+		if ctx.Err() == nil && t.mayAct(now) && now.Sub(o.Sent) < orderAge {
 			call, cancel := context.WithTimeout(ctx, o.Timeout)
 			out = t.call(call, o)
 			cancel()
