--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -78,9 +78,11 @@
 	commitPause = 50 * time.Millisecond
 	// commitPatience bounds an attempt to commit in a sound store, where one
 	// takes 10 ms. It doubles with each attempt without an answer and follows
-	// patienceFactor times the last time that one took.
+	// patienceFactor times the last time that one took. At most it is what a
+	// hundred times slower store takes; an attempt that began before the store
+	// is back must not outlast its return.
 	commitPatience    = 250 * time.Millisecond
-	commitPatienceMax = 2500 * time.Millisecond
+	commitPatienceMax = 1200 * time.Millisecond
 	patienceFactor    = 4
 	// outageFailures is how many attempts fail before the store counts as
 	// unreachable.
