guavascheduler: Retry-After grows with an outage also where no owner is known

The outage kept the owner from committing for 5.6 s, from 31.0 s to 36.7 s; the list of events shows 34.0 s as its end, but feeds were answered from 36.6 s on. Test: TestRetryAfterOutlastsOutages.

--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -58,7 +58,10 @@
 		catalog   atomic.Pointer[guavascale.Catalog]
 		term      atomic.Pointer[term]
 		// route is the address of the owner as far as known; nil when unknown.
-		route   atomic.Pointer[string]
+		route atomic.Pointer[string]
+		// lostAt is when the owner was last known, in nanoseconds of Unix time by
+		// Clock; 0 before the first one.
+		lostAt  atomic.Int64
 		leaving atomic.Bool
 		// left is closed when the daemon owns nothing and will claim nothing.
 		left chan struct{}
@@ -138,6 +141,7 @@
 			refused = isRefused(err) || isNotOwner(err)
 			// Requests still go to an owner that waits for the store.
 			if !errors.Is(err, errSlow) && s.route.CompareAndSwap(addr, nil) {
+				s.lostAt.Store(s.Clock.Now().UnixNano())
 				s.Log.Warn().Str("Owner", *addr).Bool("Refused", refused).Err(err).Msg("scheduler: no sign of life of the owner")
 			}
 		}
@@ -314,5 +318,14 @@
 	}
 }
 
+// ownerless returns for how long no owner has been known, if there was one.
+func (s *Scheduler) ownerless() time.Duration {
+	lost := s.lostAt.Load()
+	if lost == 0 || s.owner() != "" {
+		return 0
+	}
+	return time.Duration(s.Clock.Now().UnixNano() - lost)
+}
+
 // Owns reports whether the daemon owns the shard now, as far as it knows.
 func (s *Scheduler) Owns() bool { return s.term.Load() != nil }
--- a/guavascheduler/outage.go
+++ b/guavascheduler/outage.go
@@ -29,6 +29,12 @@
 		Msg("scheduler: a commit failed or has no known outcome")
 }
 
+// retryAfter returns when callers should come back in an outage: the longer it
+// has lasted, the longer it is expected to last, and callers try a few times only.
+func retryAfter(outage time.Duration) time.Duration {
+	return min(max(minRetryAfter, outage/2), maxRetryAfter)
+}
+
 func (l *outageLog) ok(log zerolog.Logger) {
 	if l.failures == 0 {
 		return
--- /dev/null
+++ b/guavascheduler/outage_test.go
@@ -0,0 +1,22 @@
+package guavascheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against callers that use up their attempts before an outage ends: a
+// caller tries five times, and an attempt takes 400 ms to be rejected.
+func TestRetryAfterOutlastsOutages(t *testing.T) {
+	const attempts, rejection = 5, 400 * time.Millisecond
+	at := time.Duration(0)
+	for range attempts - 1 {
+		at += rejection
+		at += retryAfter(at).Round(time.Second)
+	}
+	assert.Greater(t, at, 6*time.Second, "the time that a caller who comes first bridges")
+	assert.Equal(t, minRetryAfter, retryAfter(0))
+	assert.Equal(t, maxRetryAfter, retryAfter(time.Hour))
+}
--- a/guavascheduler/submissions.go
+++ b/guavascheduler/submissions.go
@@ -16,10 +16,10 @@
 	pendingAge = 2 * time.Second
 	// retryPause spaces attempts to pass a request on.
 	retryPause = 60 * time.Millisecond
-	// retryAfter is what callers are told when there is no owner: a change of
-	// the owner takes one to three seconds. While commits fail it grows with
-	// the outage up to maxRetryAfter, so that callers' attempts outlast it.
-	retryAfter    = time.Second
+	// minRetryAfter is what callers are told at least when nothing can be
+	// accepted: a change of the owner takes up to two seconds. It grows with the
+	// outage up to maxRetryAfter, so that callers' attempts outlast it.
+	minRetryAfter = time.Second
 	maxRetryAfter = 3 * time.Second
 )
 
@@ -125,7 +125,7 @@
 			return r, &guavascale.RejectedError{Reason: r.Reason, RetryAfter: r.RetryAfter}
 		}
 		if !sent && time.Since(begun) > ownerWait {
-			return r, &guavascale.RejectedError{Reason: "no owner is known", RetryAfter: retryAfter}
+			return r, &guavascale.RejectedError{Reason: "no owner is known", RetryAfter: retryAfter(s.ownerless())}
 		}
 		sleep(ctx, retryPause)
 	}
@@ -161,19 +161,19 @@
 	return s.here(wait, func(t *term, done func(reply)) {
 		now := s.Clock.Now()
 		if !t.engine.Known(sub.ID) && t.commitAge(now) > staleCommit && t.failures.Load() >= outageFailures {
-			done(reply{Verdict: verdictRejected, Reason: "the store can't be reached", RetryAfter: t.retryAfter(now)})
+			done(reply{Verdict: verdictRejected, Reason: "the store can't be reached", RetryAfter: retryAfter(t.commitAge(now))})
 			return
 		}
 		err := t.engine.Submit(now, sub, func(state guavascale.SubmissionState) {
 			if state == "" {
-				done(reply{Verdict: verdictRejected, Reason: "commits fail", RetryAfter: t.retryAfter(s.Clock.Now())})
+				done(reply{Verdict: verdictRejected, Reason: "commits fail", RetryAfter: retryAfter(t.commitAge(s.Clock.Now()))})
 				return
 			}
 			done(reply{Verdict: verdictDone})
 		})
 		var invalid *guavascale.ValidationError
 		if errors.As(err, &invalid) {
-			done(reply{Verdict: verdictRejected, Reason: invalid.Error(), RetryAfter: retryAfter})
+			done(reply{Verdict: verdictRejected, Reason: invalid.Error(), RetryAfter: minRetryAfter})
 		}
 	})
 }
@@ -217,8 +217,3 @@
 		done(reply{Verdict: verdictDone, Pending: t.engine.Pending(queue)})
 	})
 }
-
-// retryAfter returns when callers should come back while commits fail.
-func (t *term) retryAfter(now time.Time) time.Duration {
-	return min(max(retryAfter, t.commitAge(now)/2), maxRetryAfter)
-}
