--- a/guavaqueue/interfere.go
+++ b/guavaqueue/interfere.go
@@ -78,11 +78,6 @@
 	// leastCores is the part of a worker that a filler has to use for its
 	// figures to count.
 	leastCores = 0.03
-	// demandEvery spaces computations of what the kinds depend on.
-	demandEvery = 500 * time.Millisecond
-	// demandMemory is how much of the work of a kind still counts at the next
-	// computation, in percent: half of it after 6 s.
-	demandMemory = 94
 	// maxPairs bounds what is remembered.
 	maxPairs = 4096
 
@@ -432,72 +427,6 @@
 	delete(e.blocked, filler)
 }
 
-// weighDemand computes how much the fillers of each kind need the workers on
-// which they may run, and from that how much each worker is needed.
-func (e *Engine) weighDemand(now time.Time) {
-	if now.Sub(e.demandAt) < demandEvery {
-		return
-	}
-	e.demandAt = now
-	work := e.fillerWork()
-	e.demands = make(map[string]float64, len(work))
-	for _, w := range e.workers {
-		w.demand = 0
-	}
-	for kind, cores := range work {
-		room := int64(0)
-		for _, w := range e.workers {
-			if e.usable(now, w) && !e.apart(now, kind, w) {
-				room += w.Capacity.MilliCores
-			}
-		}
-		demand := float64(cores) / float64(max(room, cores, 1))
-		e.demands[kind] = demand
-		for _, w := range e.workers {
-			if !e.apart(now, kind, w) {
-				w.demand += demand
-			}
-		}
-	}
-}
-
-// fillerWork returns the processors that the fillers of each kind use or wait
-// for. Kinds come in bursts, so what was there before counts for a while.
-func (e *Engine) fillerWork() map[string]int64 {
-	work := make(map[string]int64)
-	for _, st := range e.open {
-		if st.spec.Filler {
-			work[st.spec.Kind] += int64(st.waiting) * st.spec.Size.MilliCores
-		}
-	}
-	for _, w := range e.workers {
-		for _, l := range w.loads() {
-			if l.Class == guavascale.ClassBatch {
-				work[l.Kind] += l.MilliCores
-			}
-		}
-	}
-	for kind, before := range e.work {
-		if cores := before * demandMemory / 100; cores > work[kind] {
-			work[kind] = cores
-		}
-	}
-	e.work = work
-	return work
-}
-
-// displaced returns the demand of the fillers that could no longer run on a
-// worker beside a service of a kind.
-func (e *Engine) displaced(now time.Time, service string, w *worker) float64 {
-	sum := 0.0
-	for filler, demand := range e.demands {
-		if e.suspicions.apart(now, service, filler) && !e.apart(now, filler, w) {
-			sum += demand
-		}
-	}
-	return sum
-}
-
 // loads returns what runs on the worker by kind.
 func (w *worker) loads() []load {
 	if w.loadsValid {
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -37,14 +37,6 @@
 	// fail everything.
 	failedPenalty  = 20.0
 	suspectPenalty = 1.0
-	// demandWeight weighs what other kinds depend on against free processors.
-	demandWeight = 1.0
-	// reservedShare is the part of a service's workers that its services leave
-	// to fillers while they find room elsewhere, and reservePenalty what keeps
-	// them away. Fillers that disturb most kinds of services have only such
-	// workers.
-	reservedShare  = 0.08
-	reservePenalty = 3.0
 )
 
 // place starts tasks that wait, in order of urgency.
@@ -307,36 +299,6 @@
 	return score, true
 }
 
-// findCandidates lists the workers of each pool that may get starts in this
-// decision, and counts how many of those without services the services may
-// still open.
-func (e *Engine) findCandidates(now time.Time) {
-	if e.candidates == nil {
-		e.candidates, e.spare = make(map[string][]*worker), make(map[string]int)
-	}
-	clear(e.blocked)
-	clear(e.spare)
-	for pool := range e.candidates {
-		e.candidates[pool] = e.candidates[pool][:0]
-	}
-	listed := make(map[string]int)
-	for _, w := range e.workers {
-		if e.usable(now, w) {
-			e.candidates[w.Service] = append(e.candidates[w.Service], w)
-		}
-		if !w.listed {
-			continue
-		}
-		listed[w.Service]++
-		if w.services == 0 {
-			e.spare[w.Service]++
-		}
-	}
-	for pool, n := range listed {
-		e.spare[pool] -= int(reservedShare * float64(n))
-	}
-}
-
 // sameKind returns the part of the worker's service tasks that are of a kind.
 func (w *worker) sameKind(kind string) float64 {
 	same := int64(0)
