--- a/guavaowner/guavaowner.go
+++ b/guavaowner/guavaowner.go
@@ -60,8 +60,10 @@
 		ReadTook time.Duration
 
 		version uint64
-		since   time.Time
-		head    Head
+		// since is when the current version of the head was first seen. The
+		// owner's last commit had begun by then.
+		since time.Time
+		head  Head
 	}
 
 	// Chain holds an owner's place in the sequence of commits.
@@ -115,10 +117,6 @@
 // Head returns the head as last observed.
 func (c *Candidate) Head() Head { return c.head }
 
-// Since returns when the current version of the head was first seen. The
-// owner's last commit had begun by then.
-func (c *Candidate) Since() time.Time { return c.since }
-
 // LastActive returns the latest moment at which the owner of the observed head
 // may have given an order, for a claim that is made now. OwnerLease is how long
 // an owner goes on after its last commit.
--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -167,6 +167,8 @@
 		return err
 	case <-late.C:
 	}
+	// A read that fails tells nothing: observe reads the head again if the
+	// answer doesn't come.
 	h, version, err := s.readHead(ctx, pingTimeout-pingLate)
 	if err == nil {
 		c.See(s.Clock.Now(), h, version)
