--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -246,7 +246,7 @@
 				}
 			case r.phase == phaseStarting && r.unanswered:
 				unsettled++
-				if !r.orderOut && now.Sub(r.sent) > resendAfter && w.known && (e.sole || w.sure) && w.misses == 0 {
+				if !r.orderOut && now.Sub(r.sent) > resendAfter && e.fenced(w) && w.misses == 0 {
 					e.sendStart(now, r)
 				}
 			}
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -189,9 +189,13 @@
 	}
 }
 
+// fenced reports whether the worker's current boot knows this owner's token and
+// refuses its orders once a later owner has reached it.
+func (e *Engine) fenced(w *worker) bool { return w.known && (e.sole || w.sure) }
+
 // usable reports whether the worker may get any start now.
 func (e *Engine) usable(now time.Time, w *worker) bool {
-	return w.listed && w.known && (e.sole || w.sure) && w.durable && !w.Leaving && w.misses == 0 &&
+	return w.listed && e.fenced(w) && w.durable && !w.Leaving && w.misses == 0 &&
 		!now.Before(w.avoidUntil) && w.startsOut < maxStartsOut &&
 		(e.catalog == nil || !e.catalog.Closed[w.Zone])
 }
