--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -155,6 +155,7 @@
 		dirty      bool
 		committing bool
 		waiters    []func(guavascale.SubmissionState)
+		// started is set once a worker has confirmed or reported a run.
 		started    bool
 		removed    bool
 		// objective is the time in which the submission should be completed, and
@@ -337,8 +338,12 @@
 // Deposed reports whether a worker has seen the token of a later owner.
 func (e *Engine) Deposed() bool { return e.deposed }
 
-// SetCatalog replaces the catalog.
+// SetCatalog replaces the catalog, unless c is older. A catalog of the same version
+// may close other zones.
 func (e *Engine) SetCatalog(c *guavascale.Catalog) {
+	if e.catalog != nil && c.Version < e.catalog.Version {
+		return
+	}
 	e.catalog = c
 	e.queues = make(map[string]*guavascale.Queue, len(c.Queues))
 	for i := range c.Queues {
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -327,10 +327,7 @@
 	r.startPending = false
 	if err == nil {
 		if r.phase == phaseStarting {
-			r.phase = phaseRunning
-		}
-		if r.phase == phaseRunning && r.confirmedAt.IsZero() {
-			r.confirmedAt, r.startedAt, r.unanswered = now, now, false
+			r.confirmStart(now)
 		}
 		return
 	}
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -42,6 +42,7 @@
 
 // place starts waiting tasks in order of urgency.
 func (e *Engine) place(now time.Time) {
+	clear(e.fullSizes)
 	if len(e.readySteps) == 0 {
 		return
 	}
@@ -51,7 +52,6 @@
 	slices.SortStableFunc(e.readySteps, func(a, b *step) int {
 		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.priority, b.priority), a.latest.Compare(b.latest))
 	})
-	clear(e.fullSizes)
 	e.updateDemand(now)
 	kept := e.readySteps[:0]
 	for _, st := range e.readySteps {
--- a/guavaqueue/submit.go
+++ b/guavaqueue/submit.go
@@ -76,7 +76,7 @@
 }
 
 // Pending returns the number of accepted submissions of a queue of which no task
-// has started.
+// is known to have started.
 func (e *Engine) Pending(queue string) int {
 	n := 0
 	for _, s := range e.subs {
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -198,13 +198,18 @@
 	}
 	switch {
 	case r.phase == phaseStarting:
-		r.phase, r.confirmedAt, r.unanswered = phaseRunning, now, false
-		r.startedAt = now
+		r.confirmStart(now)
 	case r.phase == phaseStopping && !r.confirmedAt.IsZero() && now.Sub(r.stopSentAt) > e.Limits.StopGrace:
 		e.sendStop(now, r)
 	}
 }
 
+// confirmStart records that the run has started on its worker.
+func (r *run) confirmStart(now time.Time) {
+	r.phase, r.confirmedAt, r.startedAt, r.unanswered = phaseRunning, now, now, false
+	r.task.step.sub.started = true
+}
+
 // adopt takes over a run that this engine did not start. It stops the run if its
 // task is not wanted any more or has another run and allows no copies. It returns
 // nil if the task is unknown.
@@ -254,6 +259,7 @@
 		return
 	}
 	t.attempt = max(t.attempt, end.Run.Attempt)
+	t.step.sub.started = true
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	}
@@ -383,7 +389,7 @@
 	w.runs[r.id] = r
 	w.addUsage(t, 1)
 	s := t.step.sub
-	s.started = true
+	s.started = s.started || !r.confirmedAt.IsZero()
 	if s.state == guavascale.SubmissionQueued {
 		s.state = guavascale.SubmissionRunning
 	}
