--- a/cmd/guavascaled/queue.go
+++ b/cmd/guavascaled/queue.go
@@ -124,7 +124,7 @@
 		Log: log,
 	}
 	scheduler.Prepare()
-	d := &queueDaemon{settings: s, log: log, scheduler: scheduler, handler: &guavaplatform.SubmissionHandler{Submissions: scheduler}}
+	d := &queueDaemon{settings: s, log: log, scheduler: scheduler, handler: &guavaplatform.SubmissionHandler{Submissions: scheduler, Log: log}}
 	d.server = &fasthttp.Server{
 		Handler:               d.handler.Serve,
 		NoDefaultServerHeader: true,
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -147,7 +147,9 @@
 		// rowWritten is set when the row of the submission itself, which never
 		// changes, is part of a batch or committed.
 		rowWritten bool
-		steps      []*step
+		// row is the encoded row until it is durable.
+		row   []byte
+		steps []*step
 		// occurrences is the number of occurrences that have become due.
 		occurrences int
 		// dirty is set when changes are not part of a batch yet, committing while
@@ -156,8 +158,8 @@
 		committing bool
 		waiters    []func(guavascale.SubmissionState)
 		// started is set once a worker has confirmed or reported a run.
-		started    bool
-		removed    bool
+		started bool
+		removed bool
 		// objective is the time in which the submission should be completed, and
 		// remainingEstimates holds the estimated time from the start of each step
 		// to the end of the submission. Both are computed on first use.
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -87,6 +87,9 @@
 	// maxBatchBytes bounds the values of a commit. The platform accepts 1 MB of
 	// base64.
 	maxBatchBytes = 500_000
+	// maxRowBytes bounds the value of a row, of which the platform accepts 64 KiB.
+	// One larger row would make it refuse all commits.
+	maxRowBytes = 60_000
 	// commitDelay is how long changes that no caller waits for are collected
 	// for one commit.
 	commitDelay = 25 * time.Millisecond
@@ -202,17 +205,24 @@
 	bytes := 0
 	if !s.rowWritten {
 		s.rowWritten = true
-		bytes += b.add(submissionPrefix+s.ID, submissionRow{
-			Submission: s.Submission, Epoch: s.epoch, AcceptedMs: s.accepted.UnixMilli(),
-		})
+		bytes += b.addEncoded(submissionPrefix+s.ID, s.row)
 		if s.state == guavascale.SubmissionQueued {
 			return bytes
 		}
 	}
-	return bytes + b.add(progressPrefix+s.ID, s.progress())
+	key := progressPrefix + s.ID
+	data := encodeRow(key, s.progress(true))
+	if len(data) > maxRowBytes {
+		// Without its checkpoint, a task starts from the beginning after a change
+		// of the owner.
+		data = encodeRow(key, s.progress(false))
+	}
+	return bytes + b.addEncoded(key, data)
 }
 
-func (s *submission) progress() progressRow {
+// progress returns the content of the progress row, with checkpoints only if
+// checkpoints is set.
+func (s *submission) progress(checkpoints bool) progressRow {
 	row := progressRow{State: s.state}
 	if s.state.Ended() {
 		row.EndedMs = s.ended.UnixMilli()
@@ -231,7 +241,7 @@
 				}
 				sr.Failed[i] = t.failed
 			}
-			if t.checkpoint != "" && len(t.runs) == 0 {
+			if checkpoints && t.checkpoint != "" && len(t.runs) == 0 {
 				if sr.Saved == nil {
 					sr.Saved = make(map[int]string)
 				}
@@ -245,14 +255,20 @@
 	return row
 }
 
-func (b *Batch) add(key string, v any) int {
+func (b *Batch) add(key string, v any) int { return b.addEncoded(key, encodeRow(key, v)) }
+
+func (b *Batch) addEncoded(key string, data []byte) int {
+	b.Writes = append(b.Writes, guavascale.Write{Key: key, Value: data})
+	return len(data)
+}
+
+func encodeRow(key string, v any) []byte {
 	data, err := json.Marshal(v)
 	if err != nil {
 		// The row types hold no values that JSON can't encode.
 		panic(fmt.Sprintf("guavaqueue: encode row %q: %v", key, err))
 	}
-	b.Writes = append(b.Writes, guavascale.Write{Key: key, Value: data})
-	return len(data)
+	return data
 }
 
 // Failed reports that a batch was certainly not applied. Its changes become part
@@ -309,7 +325,7 @@
 			continue
 		}
 		if !s.durable {
-			s.durable = true
+			s.durable, s.row = true, nil
 			e.emit(Event{Kind: EventAccepted, Submission: s.ID, Outcome: s.Queue, Age: now.Sub(s.accepted)})
 			if !s.state.Ended() {
 				e.startDueOccurrences(now, s)
--- a/guavaqueue/submit.go
+++ b/guavaqueue/submit.go
@@ -12,6 +12,9 @@
 	// maxTasks bounds the number of tasks of a submission so that its progress
 	// fits into one row.
 	maxTasks = 4000
+	// maxScheduledTasks bounds the tasks of all occurrences of a submission, which
+	// an owner keeps in memory.
+	maxScheduledTasks = 20_000
 	// maxDueOccurrences bounds how many occurrences of a submission are created
 	// in one call, as many may be due after a long outage.
 	maxDueOccurrences = 64
@@ -35,6 +38,10 @@
 		return err
 	}
 	sub := &submission{Submission: s, epoch: e.Token, accepted: now, state: guavascale.SubmissionQueued}
+	sub.row = encodeRow(submissionPrefix+s.ID, submissionRow{Submission: s, Epoch: e.Token, AcceptedMs: now.UnixMilli()})
+	if len(sub.row) > maxRowBytes {
+		return &guavascale.ValidationError{Field: "Submission", Value: fmt.Sprintf("%d bytes", len(sub.row)), Allowed: fmt.Sprintf("up to %d bytes", maxRowBytes)}
+	}
 	sub.waiters = append(sub.waiters, reply)
 	if e.subs == nil {
 		e.subs = make(map[string]*submission)
@@ -102,8 +109,11 @@
 	tasks := 0
 	for i, st := range s.Steps {
 		field := fmt.Sprintf("Steps[%d]", i)
-		if st.Count < 1 {
-			return &guavascale.ValidationError{Field: field + ".Count", Value: fmt.Sprint(st.Count), Allowed: "1 or more"}
+		if st.Count < 1 || st.Count > maxTasks {
+			return &guavascale.ValidationError{Field: field + ".Count", Value: fmt.Sprint(st.Count), Allowed: fmt.Sprintf("1 to %d", maxTasks)}
+		}
+		if min(st.Size.MilliCores, st.Size.MemoryMB, st.Size.Accelerators) < 0 {
+			return &guavascale.ValidationError{Field: field + ".Size", Value: fmt.Sprintf("%+v", st.Size), Allowed: "0 or more"}
 		}
 		for _, d := range st.After {
 			if d < 0 || d >= i {
@@ -118,6 +128,12 @@
 	if tasks < 1 || tasks > maxTasks {
 		return &guavascale.ValidationError{Field: "Steps", Value: fmt.Sprintf("%d tasks", tasks), Allowed: fmt.Sprintf("1 to %d tasks", maxTasks)}
 	}
+	if s.Repeat < 0 || s.Repeat > maxScheduledTasks/tasks {
+		return &guavascale.ValidationError{Field: "Repeat", Value: fmt.Sprint(s.Repeat), Allowed: fmt.Sprintf("0 to %d with %d tasks", maxScheduledTasks/tasks, tasks)}
+	}
+	if s.Interval < 0 {
+		return &guavascale.ValidationError{Field: "Interval", Value: s.Interval.String(), Allowed: "0 or more"}
+	}
 	return nil
 }
 
--- a/guavaqueue/takeover_test.go
+++ b/guavaqueue/takeover_test.go
@@ -1,6 +1,7 @@
 package guavaqueue
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -68,3 +69,47 @@
 	f.advance(13 * time.Second)
 	assert.Equal(t, guavascale.SubmissionCompleted, stateOrUnknown(f.engine.State("a")))
 }
+
+// Guards against malformed submissions that make every owner fail: one whose task
+// count overflows, one with more occurrences than memory, and one whose row is
+// larger than the store accepts, which blocks all commits.
+func TestMalformedSubmissionsAreRejected(t *testing.T) {
+	cases := map[string]func(*guavascale.Submission){
+		"task count overflows": func(s *guavascale.Submission) {
+			for range 4 {
+				s.Steps = append(s.Steps, guavascale.Step{Count: 1 << 62})
+			}
+		},
+		"negative size":        func(s *guavascale.Submission) { s.Steps[0].Size.MilliCores = -1 },
+		"negative occurrences": func(s *guavascale.Submission) { s.Repeat = -1 },
+		"too many occurrences": func(s *guavascale.Submission) { s.Repeat = 1 << 40 },
+		"negative interval":    func(s *guavascale.Submission) { s.Repeat, s.Interval = 2, -time.Second },
+		"row too large":        func(s *guavascale.Submission) { s.Payload = strings.Repeat("x", 70_000) },
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			s := batchOf("a", 1, 1, time.Second)
+			spoil(&s)
+			var invalid *guavascale.ValidationError
+			require.ErrorAs(t, f.engine.Submit(f.now, s, func(guavascale.SubmissionState) {}), &invalid)
+			assert.False(t, f.engine.Known("a"))
+		})
+	}
+}
+
+// Guards against a progress row that the store refuses because the checkpoints of
+// many tasks make it too large.
+func TestProgressRowIsBounded(t *testing.T) {
+	f := newFleet(t, 1)
+	f.submit(batchOf("a", 1, maxTasks, time.Second))
+	f.advance(100 * time.Millisecond)
+	s := f.engine.subs["a"]
+	for _, tk := range s.steps[0].tasks {
+		tk.checkpoint = "00000bb87a21d94b"
+	}
+	b := &Batch{}
+	s.write(b)
+	require.Len(t, b.Writes, 1)
+	assert.LessOrEqual(t, len(b.Writes[0].Value), maxRowBytes)
+}
