guavascheduler: starts need a recent worker list; a lagging owner rejects in time

Change: the list carries the time as of which it is complete, by the boot clock and through the event queue; starts are placed, and sent, only within Guarantees.LeaveMaxMs less 0.3 s, except while the store refuses commits, when nobody learns of a worker that leaves. Orders that were never sent free their task and blame no worker. Submissions that waited 0.5 s in the event queue are rejected. The pool of holds is larger than the fleet (1,024 calls for 1,100 workers before). Also: a catalog that changed while the rows were loaded was lost for the whole term; a panic in the loop, in a call of a peer or to a worker ended the process. Tests, each of which failed before or does not compile without the change: TestDelayedOrdersAreNotSent, TestLaggingOwnerRejectsSubmissions, TestCatalogChangesDuringTakeover, TestTermSurvivesPanic, TestPeerCallSurvivesPanic, TestStaleListHoldsStartsBack, TestDroppedOrdersSayNothingAboutTheWorker.

--- a/cmd/guavascaled/queue.go
+++ b/cmd/guavascaled/queue.go
@@ -57,6 +57,9 @@
 	// ownerLease is how long an owner that cannot commit continues to send
 	// orders.
 	ownerLease = 5 * time.Second
+	// startTransit is the time that is reserved for a start order on its way to a
+	// worker.
+	startTransit = 300 * time.Millisecond
 	// retentionFactor extends the guaranteed time for which ended submissions
 	// can be read.
 	retentionFactor = 1.5
@@ -105,14 +108,17 @@
 func newQueueDaemon(s guavaconfig.QueueSettings, log zerolog.Logger) *queueDaemon {
 	store := &guavaplatform.Store{Address: s.Platform}
 	g := s.Guarantees
+	clock := &guavascheduler.BootClock{}
 	scheduler := &guavascheduler.Scheduler{
 		Instance: s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36),
 		Address:  s.Peer.Listen,
 		Table:    store,
 		Runner:   &guavaplatform.Workers{},
-		Workers:  &guavaplatform.Watcher{Store: store, Log: log},
-		Clock:    &guavascheduler.BootClock{},
+		Workers:  &guavaplatform.Watcher{Store: store, Log: log, Clock: clock},
+		Clock:    clock,
 		Strength: g.Cores,
+		// Starts need some time on their way.
+		MaxListAge: guavaconfig.Milliseconds(g.LeaveMaxMs) - startTransit,
 		Limits: guavaqueue.Limits{
 			LeaseMax:    guavaconfig.Milliseconds(g.LeaseMaxMs),
 			StopGrace:   guavaconfig.Milliseconds(g.StopGraceMs),
--- a/guavaconfig/queue.go
+++ b/guavaconfig/queue.go
@@ -43,6 +43,9 @@
 		// DisturbMaxMs is how long filler tasks may keep a service above its
 		// latency target.
 		DisturbMaxMs float64
+		// LeaveMaxMs is how long after a worker has announced that it leaves
+		// runs may still be started on it.
+		LeaveMaxMs float64
 		// KeepSeconds is how long the state of an ended submission is
 		// retained.
 		KeepSeconds float64
@@ -62,6 +65,7 @@
 	defaultStopGraceMs  = 1000.0
 	defaultTermSeconds  = 6.0
 	defaultDisturbMaxMs = 4000.0
+	defaultLeaveMaxMs   = 2000.0
 	defaultKeepSeconds  = 120.0
 	defaultRackPenalty  = 2.0
 	defaultMemoryMB     = 256.0
@@ -91,6 +95,7 @@
 	setDefault(&s.Guarantees.StopGraceMs, defaultStopGraceMs)
 	setDefault(&s.Guarantees.TermSeconds, defaultTermSeconds)
 	setDefault(&s.Guarantees.DisturbMaxMs, defaultDisturbMaxMs)
+	setDefault(&s.Guarantees.LeaveMaxMs, defaultLeaveMaxMs)
 	setDefault(&s.Guarantees.KeepSeconds, defaultKeepSeconds)
 	setDefault(&s.Guarantees.RackPenalty, defaultRackPenalty)
 	setDefault(&s.Guarantees.MemoryMB, defaultMemoryMB)
@@ -111,6 +116,7 @@
 	g := s.Guarantees
 	for field, value := range map[string]float64{
 		"LeaseMaxMs": g.LeaseMaxMs, "StopGraceMs": g.StopGraceMs, "TermSeconds": g.TermSeconds, "DisturbMaxMs": g.DisturbMaxMs,
+		"LeaveMaxMs":  g.LeaveMaxMs,
 		"KeepSeconds": g.KeepSeconds, "RackPenalty": g.RackPenalty, "MemoryMB": g.MemoryMB, "Cores": g.Cores,
 	} {
 		if value < 0 {
--- a/guavaqueue/fleet_test.go
+++ b/guavaqueue/fleet_test.go
@@ -30,6 +30,8 @@
 		storeDown bool
 		// otherOwnerPossible is set while another daemon may own the shard.
 		otherOwnerPossible bool
+		// listIsStale is set while the owner may start no runs.
+		listIsStale bool
 		// holdCommits keeps the commit in progress; its batch is heldBatch.
 		holdCommits bool
 		heldBatch   *Batch
@@ -211,7 +213,7 @@
 	f.now = f.now.Add(fleetTick)
 	f.endRuns()
 	f.startDelayed()
-	for _, o := range f.engine.Orders(f.now, true, !f.otherOwnerPossible) {
+	for _, o := range f.engine.Orders(f.now, Permissions{Act: true, Start: !f.listIsStale, Sole: !f.otherOwnerPossible}) {
 		f.deliver(o)
 	}
 	f.answerHolds()
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -29,11 +29,26 @@
 		Sent time.Time
 	}
 
+	// Permissions state what the owner may do in a scheduling pass.
+	Permissions struct {
+		// Act is set if the owner may give orders.
+		Act bool
+		// Start is set if the owner may also start runs, which requires a
+		// recent list of workers.
+		Start bool
+		// Sole is set if it is certain that no other daemon owns the shard.
+		// Otherwise another owner may have extended leases, so no lease counts
+		// as expired.
+		Sole bool
+	}
+
 	// Outcome is the result of an order.
 	Outcome struct {
 		// Err is nil, a RunError or an UnavailableError.
-		Err   error
-		Clock guavascale.WorkerClock
+		Err error
+		// NotSent is set if the owner dropped the order before sending it.
+		NotSent bool
+		Clock   guavascale.WorkerClock
 		// Report is set for OrderHold.
 		Report guavascale.RunReport
 	}
@@ -76,41 +91,39 @@
 	return [...]string{"Hold", "Start", "Stop", "Pace"}[k]
 }
 
-// Orders runs a scheduling pass and returns the orders to send. MayAct
-// is set if the owner may give orders; otherwise the pass only handles due
-// occurrences and expired leases. Sole is set if it is certain that no other
-// daemon owns the shard; otherwise another owner may have extended leases, so no
-// lease counts as expired.
-func (e *Engine) Orders(now time.Time, mayAct, sole bool) []Order {
+// Orders runs a scheduling pass and returns the orders to send. Without permission
+// to act, the pass only handles due occurrences and expired leases.
+func (e *Engine) Orders(now time.Time, may Permissions) []Order {
 	for s := range e.scheduled {
 		if !s.state.Ended() {
 			e.startDueOccurrences(now, s)
 		}
 	}
-	e.soleOwner = sole
+	e.soleOwner = may.Sole
 	for id, w := range e.workers {
-		w.bootConfirmed = w.known && (sole || w.bootConfirmed)
-		e.checkLease(now, id, w, sole)
+		w.bootConfirmed = w.known && (may.Sole || w.bootConfirmed)
+		e.checkLease(now, id, w, may.Sole)
 	}
-	if sole && len(e.missing) > 0 && now.After(e.missingUntil) {
+	if may.Sole && len(e.missing) > 0 && now.After(e.missingUntil) {
 		clear(e.missing)
 		e.fleetDirty = true
 	}
-	if mayAct && !e.deposed {
-		e.resend(now)
-		e.drain(now)
+	if !may.Act || e.deposed {
+		e.orders = nil
+		return nil
+	}
+	e.resend(now, may.Start)
+	e.drain(now)
+	if may.Start {
 		e.findCandidates(now)
 		e.place(now)
 		e.replaceStragglers(now)
-		for _, w := range e.workers {
-			e.hold(now, w)
-		}
+	}
+	for _, w := range e.workers {
+		e.hold(now, w)
 	}
 	out := e.orders
 	e.orders = nil
-	if !mayAct || e.deposed {
-		return nil
-	}
 	for i := range out {
 		out[i].Sent = now
 	}
@@ -235,8 +248,8 @@
 	return Order{Kind: OrderStop, Worker: w.Worker, Run: id, Timeout: orderTimeout}
 }
 
-// resend repeats unanswered start and stop orders.
-func (e *Engine) resend(now time.Time) {
+// resend repeats unanswered stop orders, and start orders if mayStart is set.
+func (e *Engine) resend(now time.Time, mayStart bool) {
 	for _, w := range e.workers {
 		if w.unsettledRuns == 0 {
 			continue
@@ -251,7 +264,7 @@
 				}
 			case r.phase == phaseStarting && r.unanswered:
 				unsettled++
-				if !r.startPending && now.Sub(r.sentAt) > resendAfter && e.fenced(w) && w.failedHolds == 0 {
+				if mayStart && !r.startPending && now.Sub(r.sentAt) > resendAfter && e.fenced(w) && w.failedHolds == 0 {
 					e.sendStart(now, r)
 				}
 			}
@@ -291,7 +304,7 @@
 	}
 	switch o.Kind {
 	case OrderStart:
-		e.startAnswered(now, r, out.Err, refusal)
+		e.startAnswered(now, r, out, refusal)
 	case OrderStop:
 		if out.Err == nil && r.phase == phaseStopping && r.confirmedAt.IsZero() {
 			r.confirmedAt = now
@@ -307,6 +320,8 @@
 
 func (e *Engine) holdAnswered(now time.Time, w *worker, o Order, out Outcome, refusal guavascale.RunRefusal) {
 	switch {
+	case out.NotSent:
+		// The owner was late, which says nothing about the worker.
 	case out.Err == nil:
 		e.applyReport(now, o.Sent, w, out.Report)
 	case refusal == guavascale.RefusedBoot:
@@ -323,14 +338,21 @@
 	}
 }
 
-func (e *Engine) startAnswered(now time.Time, r *run, err error, refusal guavascale.RunRefusal) {
+func (e *Engine) startAnswered(now time.Time, r *run, out Outcome, refusal guavascale.RunRefusal) {
 	r.startPending = false
-	if err == nil {
+	if out.Err == nil {
 		if r.phase == phaseStarting {
 			r.confirmStart(now)
 		}
 		return
 	}
+	if out.certainlyNotSent() && !r.unanswered && r.phase == phaseStarting {
+		if !out.NotSent {
+			r.worker.backoffUntil = now.Add(noRoomBackoff)
+		}
+		e.markLost(now, r, "start was not sent: "+errorText(out.Err))
+		return
+	}
 	if refusal == "" {
 		r.unanswered = true
 		r.worker.unsettledRuns++
@@ -364,6 +386,12 @@
 	e.markLost(now, r, "start refused: "+string(refusal))
 }
 
+// certainlyNotSent reports whether no byte of the order has reached the worker.
+func (out *Outcome) certainlyNotSent() bool {
+	var unavailable *guavascale.UnavailableError
+	return out.NotSent || errors.As(out.Err, &unavailable) && !unavailable.MayHaveApplied
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/guavaqueue/takeover_test.go
+++ b/guavaqueue/takeover_test.go
@@ -113,3 +113,41 @@
 	require.Len(t, b.Writes, 1)
 	assert.LessOrEqual(t, len(b.Writes[0].Value), maxRowBytes)
 }
+
+// Guards against starts while the list of workers is too old, and against services
+// that lapse meanwhile.
+func TestStaleListHoldsStartsBack(t *testing.T) {
+	f := newFleet(t, 2)
+	f.submit(serviceOf("a", 2))
+	f.advance(time.Second)
+	f.listIsStale = true
+	f.submit(batchOf("b", 1, 2, 200*time.Millisecond))
+	f.advance(8 * time.Second)
+	assert.Equal(t, 2, f.starts)
+	assert.Equal(t, 2, f.countRunning("a"), "leases are extended")
+	f.listIsStale = false
+	f.advance(time.Second)
+	assert.Equal(t, guavascale.SubmissionCompleted, stateOrUnknown(f.engine.State("b")))
+}
+
+// Guards against a worker that counts as unreachable, and a task that waits for the
+// outcome of its start, because the owner itself dropped the order.
+func TestDroppedOrdersSayNothingAboutTheWorker(t *testing.T) {
+	f := newFleet(t, 1)
+	f.advance(time.Second)
+	w := f.engine.workers["w0"]
+	hold := Order{Kind: OrderHold, Worker: w.Worker, Sent: w.holdAt}
+	f.workers["w0"].pendingHold = nil
+	f.engine.Answer(f.now, hold, Outcome{Err: errNoAnswer, NotSent: true})
+	assert.Zero(t, w.failedHolds)
+	f.submit(batchOf("a", 1, 1, time.Second))
+	f.commit()
+	f.now = f.now.Add(fleetTick)
+	for _, o := range f.engine.Orders(f.now, Permissions{Act: true, Start: true, Sole: true}) {
+		if o.Kind == OrderStart {
+			f.engine.Answer(f.now, o, Outcome{Err: errNoAnswer, NotSent: true})
+		}
+	}
+	assert.Empty(t, w.runs)
+	assert.Equal(t, 1, f.engine.Pending("fast"))
+}
--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -31,10 +31,12 @@
 )
 
 type (
-	// WorkerSource provides the list of workers. WatchWorkers calls set with the
-	// whole list after each change until ctx is done.
+	// WorkerSource provides the list of workers. Until ctx is done, WatchWorkers
+	// calls set with the whole list after each change, and unchanged when the list
+	// was read and had no change. AsOf is a time of the scheduler's clock at which
+	// the list was complete.
 	WorkerSource interface {
-		WatchWorkers(ctx context.Context, set func([]guavascale.Worker))
+		WatchWorkers(ctx context.Context, set func(list []guavascale.Worker, asOf time.Time), unchanged func(asOf time.Time))
 	}
 
 	// Scheduler schedules submissions in one daemon. The exported fields must
@@ -50,6 +52,9 @@
 		Clock    guavascale.Clock
 		Limits   guavaqueue.Limits
 		Log      zerolog.Logger
+		// MaxListAge is the age of the list of workers up to which runs are
+		// started; 0 means no limit.
+		MaxListAge time.Duration
 		// Strength is the processor time available to the daemon, in cores.
 		// Stronger daemons claim the shard first.
 		Strength float64
@@ -98,8 +103,9 @@
 	// staleCommitAge is the commit age above which the owner may be disconnected
 	// from the store. Heartbeats are committed every 500 ms.
 	staleCommitAge = 1200 * time.Millisecond
-	// maxHoldCalls and maxOrderCalls limit the concurrent calls to workers.
-	maxHoldCalls  = 1024
+	// maxHoldCalls and maxOrderCalls limit the concurrent calls to workers. Each
+	// worker has a hold in progress at almost any time.
+	maxHoldCalls  = 4096
 	maxOrderCalls = 256
 )
 
@@ -114,7 +120,7 @@
 func (s *Scheduler) SetCatalog(c *guavascale.Catalog) {
 	s.catalog.Store(c)
 	if t := s.term.Load(); t != nil {
-		t.post(func() { t.engine.SetCatalog(c) })
+		t.post(t.updateCatalog)
 	}
 }
 
@@ -283,13 +289,10 @@
 		log.Error().Err(err).Msg("scheduler: failed to load the rows of the shard; giving up the claim")
 		return
 	}
-	if c := s.catalog.Load(); c != nil {
-		t.engine.SetCatalog(c)
-	}
 	log.Info().Int("Rows", len(rows)).Msg("scheduler: own the shard")
 	s.ownerAddr.Store(nil)
 	s.term.Store(t)
-	go s.Workers.WatchWorkers(ctx, func(list []guavascale.Worker) { t.post(func() { t.setWorkers(list) }) })
+	go t.watchWorkers(ctx)
 	err = t.run(ctx)
 	s.term.Store(nil)
 	close(t.done)
--- a/guavascheduler/peer.go
+++ b/guavascheduler/peer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -155,7 +156,13 @@
 }
 
 // Call handles a call from a peer.
-func (v service) Call(in []byte, out *[]byte) error {
+func (v service) Call(in []byte, out *[]byte) (err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			v.s.Log.Error().Interface("Fault", fault).Bytes("Stack", debug.Stack()).Msg("scheduler: a peer's call panicked")
+			err = fmt.Errorf("panic: %v", fault)
+		}
+	}()
 	var env envelope
 	if err := cbor.Unmarshal(in, &env); err != nil {
 		return fmt.Errorf("decode a call: %w", err)
--- a/guavascheduler/submissions.go
+++ b/guavascheduler/submissions.go
@@ -15,6 +15,9 @@
 	// maxPendingAge is the maximum commit age at which the owner reports the
 	// number of waiting submissions.
 	maxPendingAge = 2 * time.Second
+	// maxQueueLag is the delay of the owner's event queue above which it rejects
+	// new submissions: their steps would wait as long for each of their starts.
+	maxQueueLag = 500 * time.Millisecond
 	// retryDelay is the delay between attempts to forward a request.
 	retryDelay = 60 * time.Millisecond
 	// minRetryAfter is the shortest retry delay sent to callers while submissions
@@ -164,8 +167,13 @@
 }
 
 func (s *Scheduler) submitLocal(sub guavascale.Submission, wait time.Duration) reply {
+	arrived := s.Clock.Now()
 	return s.runOnTerm(wait, func(t *term, done func(reply)) {
 		now := s.Clock.Now()
+		if lag := now.Sub(arrived); lag > maxQueueLag && !t.engine.Known(sub.ID) {
+			done(reply{Verdict: verdictRejected, Reason: "the owner is overloaded", RetryAfter: retryAfter(lag)})
+			return
+		}
 		if !t.engine.Known(sub.ID) && t.commitAge(now) > staleCommitAge && t.failures.Load() >= outageThreshold {
 			done(reply{Verdict: verdictRejected, Reason: "the store can't be reached", RetryAfter: retryAfter(t.commitAge(now))})
 			return
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -35,6 +37,10 @@
 	// failures counts the commit attempts that failed since the last applied
 	// commit. Any goroutine may read it.
 	failures atomic.Int32
+	// listAsOf is the time as of which the list of workers in the engine is known
+	// to be complete, in Unix nanoseconds of the scheduler's clock. Any goroutine
+	// may read it.
+	listAsOf atomic.Int64
 	// commitTimeout is the timeout of the next commit attempt. It is accessed
 	// by the commit in progress only.
 	commitTimeout time.Duration
@@ -100,7 +106,10 @@
 	withdrawAfter = 300 * time.Millisecond
 )
 
-var errReleased = errors.New("the daemon has released the shard")
+var (
+	errReleased     = errors.New("the daemon has released the shard")
+	errOrderTooLate = errors.New("the order was too old when it was due to be sent")
+)
 
 // post queues f for execution by run. It reports whether f was queued; it was
 // not if the term has ended.
@@ -131,6 +140,20 @@
 	return t.commitAge(now) < t.scheduler.Limits.OwnerLease
 }
 
+// canStartRuns reports whether the list of workers is recent enough for starts: an
+// older one may lack a worker's announcement that it leaves. It must be checked
+// immediately before each start is sent. While the store is unreachable, nobody
+// learns of such an announcement, and starts go on until the owner's lease ends.
+func (t *term) canStartRuns(now time.Time) bool {
+	maxAge := t.scheduler.MaxListAge
+	return maxAge <= 0 || t.failures.Load() >= outageThreshold || time.Duration(now.UnixNano()-t.listAsOf.Load()) < maxAge
+}
+
+// mayStillSend reports whether an order may be sent now.
+func (t *term) mayStillSend(now time.Time, o guavaqueue.Order) bool {
+	return t.canIssueOrders(now) && now.Sub(o.Sent) < maxOrderAge && (o.Kind != guavaqueue.OrderStart || t.canStartRuns(now))
+}
+
 // canServeReads reports whether it is certain that no other daemon has claimed
 // the shard, so that the engine's state is authoritative and leases expire as it
 // granted them. A daemon claims the shard only if the head row has not changed
@@ -138,7 +161,15 @@
 func (t *term) canServeReads(now time.Time) bool { return t.commitAge(now) < readLease }
 
 // run executes the scheduling loop until the term ends and returns the reason.
-func (t *term) run(ctx context.Context) error {
+func (t *term) run(ctx context.Context) (err error) {
+	defer func() {
+		// Another term starts from the committed state.
+		if fault := recover(); fault != nil {
+			t.scheduler.Log.Error().Interface("Fault", fault).Bytes("Stack", debug.Stack()).Msg("scheduler: the term panicked")
+			err = fmt.Errorf("panic: %v", fault)
+		}
+	}()
+	t.updateCatalog()
 	timer := time.NewTicker(stepInterval)
 	defer timer.Stop()
 	for t.err == nil {
@@ -182,7 +213,10 @@
 		t.scheduler.Log.Info().Interface("Stats", stats).Dur("CommitAgeMs", t.commitAge(now)).
 			Strs("Apart", t.engine.Apart()).Msg("scheduler: state of the shard")
 	}
-	for _, o := range t.engine.Orders(now, t.canIssueOrders(now) && !leaving, t.canServeReads(now)) {
+	may := guavaqueue.Permissions{
+		Act: t.canIssueOrders(now) && !leaving, Start: t.canStartRuns(now), Sole: t.canServeReads(now),
+	}
+	for _, o := range t.engine.Orders(now, may) {
 		t.dispatch(ctx, o)
 	}
 	t.logEvents(now)
@@ -326,8 +360,26 @@
 	return t.yielding
 }
 
-func (t *term) setWorkers(list []guavascale.Worker) {
+// updateCatalog passes the catalog in force to the engine.
+func (t *term) updateCatalog() {
+	if c := t.scheduler.catalog.Load(); c != nil {
+		t.engine.SetCatalog(c)
+	}
+}
+
+// watchWorkers follows the list of workers. The time as of which the list is known
+// passes through the event queue, so that it includes the queue's delay.
+func (t *term) watchWorkers(ctx context.Context) {
+	t.scheduler.Workers.WatchWorkers(
+		ctx, func(list []guavascale.Worker, asOf time.Time) { t.post(func() { t.setWorkers(list, asOf) }) },
+		func(asOf time.Time) { t.post(func() { t.listAsOf.Store(asOf.UnixNano()) }) },
+	)
+}
+
+// setWorkers passes the list of workers as of a given time to the engine.
+func (t *term) setWorkers(list []guavascale.Worker, asOf time.Time) {
 	now := t.scheduler.Clock.Now()
+	t.listAsOf.Store(asOf.UnixNano())
 	listed := make(map[guavascale.WorkerID]bool, len(list))
 	for _, w := range list {
 		listed[w.ID] = true
@@ -344,21 +396,27 @@
 		pool = t.holdPool
 	}
 	pool.Submit(func() {
-		out := guavaqueue.Outcome{Err: context.Canceled}
+		out := guavaqueue.Outcome{Err: errOrderTooLate, NotSent: true}
 		now := t.scheduler.Clock.Now()
-		if ctx.Err() == nil && t.canIssueOrders(now) && now.Sub(o.Sent) < maxOrderAge {
+		if ctx.Err() == nil && t.mayStillSend(now, o) {
 			callCtx, cancel := context.WithTimeout(ctx, o.Timeout)
 			out = t.execute(callCtx, o)
 			cancel()
-			t.scheduler.meters.order(o, out, t.scheduler.Clock.Now().Sub(now))
 		}
+		t.scheduler.meters.order(o, out, t.scheduler.Clock.Now().Sub(now))
 		t.post(func() { t.engine.Answer(t.scheduler.Clock.Now(), o, out) })
 	})
 }
 
 // execute sends an order to its worker.
-func (t *term) execute(ctx context.Context, o guavaqueue.Order) guavaqueue.Outcome {
-	var out guavaqueue.Outcome
+func (t *term) execute(ctx context.Context, o guavaqueue.Order) (out guavaqueue.Outcome) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			t.scheduler.Log.Error().Interface("Fault", fault).Bytes("Stack", debug.Stack()).Str("Worker", string(o.Worker.ID)).
+				Msg("scheduler: an order panicked")
+			out = guavaqueue.Outcome{Err: fmt.Errorf("panic: %v", fault)}
+		}
+	}()
 	r := t.scheduler.Runner
 	switch o.Kind {
 	case guavaqueue.OrderHold:
--- /dev/null
+++ b/guavascheduler/term_test.go
@@ -0,0 +1,171 @@
+package guavascheduler
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
+	"guavascale.example/guavaqueue"
+)
+
+type (
+	// manualClock is a clock that only the test advances.
+	manualClock struct{ ns atomic.Int64 }
+
+	// countingRunner counts the orders that reach it.
+	countingRunner struct {
+		starts, stops, holds atomic.Int64
+		fail                 bool
+	}
+)
+
+func (c *manualClock) Now() time.Time          { return time.Unix(0, c.ns.Load()) }
+func (c *manualClock) advance(d time.Duration) { c.ns.Add(int64(d)) }
+
+func (r *countingRunner) Start(context.Context, guavascale.Worker, guavascale.RunStart) (guavascale.WorkerClock, error) {
+	if r.fail {
+		panic("test")
+	}
+	r.starts.Add(1)
+	return 0, nil
+}
+
+func (r *countingRunner) Stop(context.Context, guavascale.Worker, guavascale.Run, uint64) (guavascale.WorkerClock, error) {
+	r.stops.Add(1)
+	return 0, nil
+}
+
+func (r *countingRunner) Pace(context.Context, guavascale.Worker, guavascale.Run, int, uint64) (guavascale.WorkerClock, error) {
+	return 0, nil
+}
+
+func (r *countingRunner) Hold(context.Context, guavascale.Worker, guavascale.Hold) (guavascale.RunReport, error) {
+	r.holds.Add(1)
+	return guavascale.RunReport{}, nil
+}
+
+// newTerm returns a term that has just committed and read the list of workers, and
+// whose loop does not run.
+func newTerm(clock *manualClock, runner guavascale.Runner) *term {
+	s := &Scheduler{
+		Clock: clock, Runner: runner, Log: zerolog.Nop(), MaxListAge: 1700 * time.Millisecond,
+		Limits: guavaqueue.Limits{OwnerLease: 5 * time.Second},
+	}
+	t := &term{
+		scheduler: s, events: make(chan func(), 16), done: make(chan struct{}),
+		holdPool: pond.NewPool(4), callPool: pond.NewPool(4),
+	}
+	t.recordCommit(clock.Now())
+	t.listAsOf.Store(clock.Now().UnixNano())
+	s.term.Store(t)
+	return t
+}
+
+// Guards against a configuration that takes effect while the daemon loads the rows
+// of the shard: the engine kept the older one for the whole term.
+func TestCatalogChangesDuringTakeover(t *testing.T) {
+	tm := newTerm(&manualClock{}, &countingRunner{})
+	tm.engine.SetCatalog(&guavascale.Catalog{Version: 1})
+	tm.scheduler.catalog.Store(&guavascale.Catalog{Version: 2})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.ErrorIs(t, tm.run(ctx), context.Canceled)
+	assert.Equal(t, uint64(2), tm.engine.Dump(time.Time{}).CatalogVersion)
+}
+
+// Guards against a malformed call of a peer that ends the process.
+func TestPeerCallSurvivesPanic(t *testing.T) {
+	body, err := cbor.Marshal(pingIn{Instance: "a"})
+	require.NoError(t, err)
+	in, err := cbor.Marshal(envelope{Method: methodPing, Body: body})
+	require.NoError(t, err)
+	var out []byte
+	// The scheduler has no clock.
+	assert.Error(t, service{&Scheduler{Log: zerolog.Nop()}}.Call(in, &out))
+	assert.Error(t, service{&Scheduler{Log: zerolog.Nop()}}.Call([]byte{0xff}, &out))
+}
+
+// Guards against a panic in the term's loop or in a call to a worker that ends the
+// process, and against one that is taken for an order that had no effect.
+func TestTermSurvivesPanic(t *testing.T) {
+	tm := newTerm(&manualClock{}, &countingRunner{fail: true})
+	tm.events <- func() { panic("test") }
+	require.ErrorContains(t, tm.run(t.Context()), "panic")
+
+	out := tm.execute(t.Context(), guavaqueue.Order{Kind: guavaqueue.OrderStart})
+	require.Error(t, out.Err)
+	assert.False(t, out.NotSent)
+}
+
+// Guards against orders that are sent although the owner has been delayed: a start
+// from a list of workers that is older than the platform's limit, any order that is
+// itself too old, and any order after the owner's lease.
+func TestDelayedOrdersAreNotSent(t *testing.T) {
+	cases := map[string]struct {
+		kind  guavaqueue.OrderKind
+		delay time.Duration
+		// listAge is added to the age of the list of workers, commitAge to that of
+		// the last commit.
+		listAge, commitAge time.Duration
+		sent               bool
+	}{
+		"prompt start":            {kind: guavaqueue.OrderStart, sent: true},
+		"start, old list":         {kind: guavaqueue.OrderStart, listAge: 1800 * time.Millisecond},
+		"stop, old list":          {kind: guavaqueue.OrderStop, listAge: 1800 * time.Millisecond, sent: true},
+		"old start":               {kind: guavaqueue.OrderStart, delay: 1100 * time.Millisecond},
+		"old stop":                {kind: guavaqueue.OrderStop, delay: 1100 * time.Millisecond},
+		"old hold":                {kind: guavaqueue.OrderHold, delay: 1100 * time.Millisecond},
+		"stop, lease has expired": {kind: guavaqueue.OrderStop, commitAge: 5 * time.Second},
+		"hold, lease has expired": {kind: guavaqueue.OrderHold, commitAge: 5 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock, runner := &manualClock{}, &countingRunner{}
+			clock.advance(time.Hour)
+			tm := newTerm(clock, runner)
+			order := guavaqueue.Order{Kind: tc.kind, Timeout: time.Second, Sent: clock.Now()}
+			clock.advance(tc.delay)
+			tm.recordCommit(clock.Now().Add(-tc.commitAge))
+			tm.listAsOf.Store(clock.Now().Add(-tc.listAge).UnixNano())
+			tm.dispatch(t.Context(), order)
+			<-tm.events
+			sent := runner.starts.Load() + runner.stops.Load() + runner.holds.Load()
+			assert.Equal(t, tc.sent, sent == 1)
+		})
+	}
+}
+
+// Guards against an owner that falls behind and accepts submissions whose starts
+// will be as late, instead of rejecting them while their callers still wait.
+func TestLaggingOwnerRejectsSubmissions(t *testing.T) {
+	cases := map[string]struct {
+		lag  time.Duration
+		want verdict
+	}{
+		"prompt":  {0, verdictUnknown},
+		"lagging": {600 * time.Millisecond, verdictRejected},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock := &manualClock{}
+			tm := newTerm(clock, &countingRunner{})
+			replies := make(chan reply, 1)
+			sub := guavascale.Submission{ID: "a", Queue: "q", Steps: []guavascale.Step{{Count: 1}}}
+			go func() { replies <- tm.scheduler.submitLocal(sub, 200*time.Millisecond) }()
+			f := <-tm.events
+			clock.advance(tc.lag)
+			tm.recordCommit(clock.Now())
+			f()
+			assert.Equal(t, tc.want, (<-replies).Verdict, "an accepted submission waits for its commit")
+			assert.Equal(t, tc.want != verdictRejected, tm.engine.Known("a"))
+		})
+	}
+}
