--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -81,6 +81,8 @@
 		// excludedServices during the pass.
 		candidates               map[string][]*worker
 		excludedServicesByFiller map[string]map[string]bool
+		// ranked is a buffer that rankWorkers reuses.
+		ranked ranking
 		// spareWorkers counts, by pool, the workers without services on which
 		// services may still be started in this scheduling pass.
 		spareWorkers map[string]int
@@ -181,7 +183,7 @@
 		queued  bool
 		// perWorker counts the runs on each worker.
 		perWorker map[guavascale.WorkerID]int
-		// durations holds the durations of finished runs.
+		// durations holds the durations of finished runs, shortest first.
 		durations []time.Duration
 		// urgency, priority and latest are the sort key of waiting steps.
 		urgency, priority int
@@ -267,6 +269,8 @@
 		seen, acked uint64
 		holdPending bool
 		holdAt      time.Time
+		// reportedAt is when the last report arrived.
+		reportedAt time.Time
 		// failedHolds counts the holds that failed since the last response.
 		failedHolds int
 		// leavesAt is the earliest time at which a leaving worker may be gone.
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -75,8 +75,8 @@
 	holdWaitDisturbed = 500 * time.Millisecond
 	// holdTimeoutMargin is added to the wait for the timeout of the call.
 	holdTimeoutMargin = 1000 * time.Millisecond
-	// minHoldInterval is the minimum time between holds while ends wait to
-	// become durable, and, times the number of failed holds up to 4, between
+	// minHoldInterval is the minimum time between a report and the next hold while
+	// ends wait to become durable, and, times the number of failed holds up to 4, between
 	// holds of a worker that doesn't answer.
 	minHoldInterval = 250 * time.Millisecond
 	// maxPendingStarts bounds the number of unanswered starts per worker.
@@ -164,14 +164,13 @@
 	if w.holdPending {
 		return
 	}
-	since := now.Sub(w.holdAt)
 	waiting := w.seen > w.acked
 	switch {
 	case !w.listed && len(w.runs) == 0:
 		return
-	case w.failedHolds > 0 && since < minHoldInterval*time.Duration(min(w.failedHolds, 4)):
+	case w.failedHolds > 0 && now.Sub(w.holdAt) < minHoldInterval*time.Duration(min(w.failedHolds, 4)):
 		return
-	case waiting && since < minHoldInterval:
+	case waiting && now.Sub(w.reportedAt) < minHoldInterval:
 		// The worker would repeat the ends at once, since their commit is still
 		// pending.
 		return
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -140,6 +140,7 @@
 		e.placeGang(now, st, q)
 		return
 	}
+	var ranked *ranking
 	for _, t := range st.tasks {
 		if st.waiting == 0 {
 			return
@@ -147,7 +148,19 @@
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.inherited && !e.inheritedRunsKnown() {
 			continue
 		}
-		w := e.choose(now, st, q, t)
+		var w *worker
+		switch {
+		case len(t.avoidWorkers) > 0:
+			w = e.choose(now, st, q, t)
+		case e.knownFull(st):
+			return
+		default:
+			if ranked == nil {
+				ranked = e.rankWorkers(now, st, q)
+			}
+			w = ranked.best(e, now, st)
+			e.recordChoice(now, st, w)
+		}
 		if w == nil {
 			return
 		}
@@ -213,37 +226,48 @@
 		return nil
 	}
 	var best *worker
-	bestScore := 0.0
-	size := st.tasks[0].size()
+	bestRating := 0.0
 	for _, w := range e.candidates[q.Service] {
-		if w.pendingStarts >= maxPendingStarts || !w.Capacity.Fits(w.used.Add(size)) {
-			continue
-		}
-		if st.spec.MaxPerWorker > 0 && st.perWorker[w.ID] >= st.spec.MaxPerWorker {
-			continue
-		}
-		if st.spec.Label != "" && !slices.Contains(w.Labels, st.spec.Label) {
-			continue
-		}
-		score, ok := e.score(now, st, w)
+		rating, ok := e.rate(now, st, w)
 		if !ok {
 			continue
 		}
 		if slices.Contains(t.avoidWorkers, w.ID) {
-			score -= failedTaskPenalty
+			rating -= failedTaskPenalty
 		}
-		score -= failurePenalty * float64(min(w.failures, backoffFailures))
-		if best == nil || score > bestScore || score == bestScore && w.ID < best.ID {
-			best, bestScore = w, score
+		if best == nil || rating > bestRating || rating == bestRating && w.ID < best.ID {
+			best, bestRating = w, rating
 		}
 	}
+	e.recordChoice(now, st, best)
+	return best
+}
+
+// recordChoice records the result of a search for a worker for a task of the step;
+// nil means that none was found.
+func (e *Engine) recordChoice(now time.Time, st *step, w *worker) {
 	switch {
-	case best == nil:
+	case w == nil:
 		e.recordFull(st)
 	case st.spec.Filler:
-		e.recordTrials(now, st.spec.Kind, best)
+		e.recordTrials(now, st.spec.Kind, w)
 	}
-	return best
+}
+
+// rate returns the rating of a worker for a task of the step, or false if it can't
+// run one. Failures since the worker's last success lower the rating.
+func (e *Engine) rate(now time.Time, st *step, w *worker) (float64, bool) {
+	if w.pendingStarts >= maxPendingStarts || !w.Capacity.Fits(w.used.Add(st.tasks[0].size())) {
+		return 0, false
+	}
+	if st.spec.MaxPerWorker > 0 && st.perWorker[w.ID] >= st.spec.MaxPerWorker {
+		return 0, false
+	}
+	if st.spec.Label != "" && !slices.Contains(w.Labels, st.spec.Label) {
+		return 0, false
+	}
+	score, ok := e.score(now, st, w)
+	return score - failurePenalty*float64(min(w.failures, backoffFailures)), ok
 }
 
 // knownFull reports whether a task of the same placement class that is no larger
--- a/guavaqueue/stragglers.go
+++ b/guavaqueue/stragglers.go
@@ -35,7 +35,8 @@
 // recordDuration records the duration of a finished run of the step.
 func (st *step) recordDuration(took time.Duration) {
 	if len(st.durations) < maxDurations {
-		st.durations = append(st.durations, took)
+		i, _ := slices.BinarySearch(st.durations, took)
+		st.durations = slices.Insert(st.durations, i, took)
 	}
 }
 
@@ -45,7 +46,6 @@
 	if len(st.durations) == 0 || st.done*3 < len(st.tasks) {
 		return 0
 	}
-	slices.Sort(st.durations)
 	return st.durations[len(st.durations)/2]
 }
 
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -146,6 +146,7 @@
 		w.Born = rep.Born
 	}
 	e.recordClock(now, sent, w, rep.Clock)
+	w.reportedAt = now
 	if e.listedRuns == nil {
 		e.listedRuns = make(map[guavascale.Run]bool)
 	}
--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -22,7 +22,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"github.com/rs/zerolog"
 
 	"guavascale.example"
@@ -106,7 +105,9 @@
 	// maxHoldCalls and maxOrderCalls limit the concurrent calls to workers. Each
 	// worker has a hold in progress at almost any time.
 	maxHoldCalls  = 4096
-	maxOrderCalls = 256
+	maxOrderCalls = 2048
+	// idleCallTime is how long a goroutine for calls stays without one.
+	idleCallTime = 10 * time.Second
 )
 
 // Prepare initializes the scheduler. It must be called once, before Run and
@@ -275,10 +276,10 @@
 		chain:     *chain,
 		events:    make(chan func(), eventQueueSize),
 		done:      make(chan struct{}),
-		holdPool:  pond.NewPool(maxHoldCalls),
-		callPool:  pond.NewPool(maxOrderCalls),
 		startedAt: s.Clock.Now(),
 	}
+	t.openPools()
+	defer t.closePools()
 	log := s.Log.With().Uint64("Epoch", chain.Epoch).Logger()
 	t.recordCommit(s.Clock.Now())
 	rows, err := s.loadRows(ctx)
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/alitto/pond/v2"
+	"github.com/panjf2000/ants/v2"
 
 	"guavascale.example"
 	"guavascale.example/guavaowner"
@@ -28,9 +28,10 @@
 	// done is closed when the term ends.
 	events chan func()
 	done   chan struct{}
-	// holdPool executes hold orders, callPool all others.
-	holdPool pond.Pool
-	callPool pond.Pool
+	// holdPool executes hold orders, callPool all others. Their goroutines are
+	// reused, since each new one would have to grow its stack.
+	holdPool *ants.Pool
+	callPool *ants.Pool
 	// lastCommit is the start time of the last applied commit, in Unix
 	// nanoseconds of the scheduler's clock. Any goroutine may read it.
 	lastCommit atomic.Int64
@@ -160,6 +161,17 @@
 // for guavaowner.SilentFor or the owner has reported to its peers that commits fail.
 func (t *term) canServeReads(now time.Time) bool { return t.commitAge(now) < readLease }
 
+func (t *term) openPools() {
+	// NewPool fails only for invalid options.
+	t.holdPool, _ = ants.NewPool(maxHoldCalls, ants.WithNonblocking(true), ants.WithExpiryDuration(idleCallTime))
+	t.callPool, _ = ants.NewPool(maxOrderCalls, ants.WithNonblocking(true), ants.WithExpiryDuration(idleCallTime))
+}
+
+func (t *term) closePools() {
+	t.holdPool.Release()
+	t.callPool.Release()
+}
+
 // run executes the scheduling loop until the term ends and returns the reason.
 func (t *term) run(ctx context.Context) (err error) {
 	defer func() {
@@ -395,17 +407,27 @@
 	if o.Kind == guavaqueue.OrderHold {
 		pool = t.holdPool
 	}
-	pool.Submit(func() {
-		out := guavaqueue.Outcome{Err: errOrderTooLate, NotSent: true}
-		now := t.scheduler.Clock.Now()
-		if ctx.Err() == nil && t.mayStillSend(now, o) {
-			callCtx, cancel := context.WithTimeout(ctx, o.Timeout)
-			out = t.execute(callCtx, o)
-			cancel()
-		}
-		t.scheduler.meters.order(o, out, t.scheduler.Clock.Now().Sub(now))
+	err := pool.Submit(func() {
+		out := t.send(ctx, o)
 		t.post(func() { t.engine.Answer(t.scheduler.Clock.Now(), o, out) })
 	})
+	if err != nil {
+		// All calls of the pool are in progress.
+		t.engine.Answer(t.scheduler.Clock.Now(), o, guavaqueue.Outcome{Err: err, NotSent: true})
+	}
+}
+
+// send sends an order, unless it is too late for it.
+func (t *term) send(ctx context.Context, o guavaqueue.Order) guavaqueue.Outcome {
+	out := guavaqueue.Outcome{Err: errOrderTooLate, NotSent: true}
+	now := t.scheduler.Clock.Now()
+	if ctx.Err() == nil && t.mayStillSend(now, o) {
+		callCtx, cancel := context.WithTimeout(ctx, o.Timeout)
+		defer cancel()
+		out = t.execute(callCtx, o)
+	}
+	t.scheduler.meters.order(o, out, t.scheduler.Clock.Now().Sub(now))
+	return out
 }
 
 // execute sends an order to its worker.
