--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -22,6 +22,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/expirable"
 	"github.com/rs/zerolog"
 
 	"guavascale.example"
@@ -65,6 +66,8 @@
 		meters    meters
 		catalog   atomic.Pointer[guavascale.Catalog]
 		term      atomic.Pointer[term]
+		// endedStates holds the final states of submissions.
+		endedStates *expirable.LRU[string, guavascale.SubmissionState]
 		// ownerAddr is the last known address of an owner other than this
 		// daemon, or nil if unknown.
 		ownerAddr atomic.Pointer[string]
@@ -115,6 +118,7 @@
 func (s *Scheduler) Prepare() {
 	s.stopped = make(chan struct{})
 	s.peers.pool.KeepOnTimeout = true
+	s.endedStates = expirable.NewLRU[string, guavascale.SubmissionState](maxEndedStates, nil, endedStateTime)
 }
 
 // SetCatalog replaces the catalog in force.
--- a/guavascheduler/submissions.go
+++ b/guavascheduler/submissions.go
@@ -18,6 +18,10 @@
 	// maxQueueLag is the delay of the owner's event queue above which it rejects
 	// new submissions: their steps would wait as long for each of their starts.
 	maxQueueLag = 500 * time.Millisecond
+	// maxEndedStates and endedStateTime bound the final states that a daemon
+	// remembers. The time is shorter than that for which states can be read.
+	maxEndedStates = 4096
+	endedStateTime = time.Minute
 	// retryDelay is the delay between attempts to forward a request.
 	retryDelay = 60 * time.Millisecond
 	// minRetryAfter is the shortest retry delay sent to callers while submissions
@@ -39,8 +43,13 @@
 }
 
 // State returns the state of a submission as reported by the owner. If no owner
-// is known, it reads the state from the table, which is always authoritative.
+// is known, it reads the state from the table, which is always authoritative. A
+// final state never changes and is remembered, since callers often ask again.
 func (s *Scheduler) State(ctx context.Context, id string) (guavascale.SubmissionState, error) {
+	if state, ok := s.endedStates.Get(id); ok {
+		s.meters.count("request.State.Remembered", 1)
+		return state, nil
+	}
 	if s.owner() == "" {
 		state, err := s.storedState(ctx, id)
 		var unavailable *guavascale.UnavailableError
@@ -50,9 +59,18 @@
 		}
 	}
 	r, err := s.forwardID(ctx, methodState, id, s.stateLocal)
+	if err == nil {
+		s.rememberState(id, r.State)
+	}
 	return r.State, err
 }
 
+func (s *Scheduler) rememberState(id string, state guavascale.SubmissionState) {
+	if state.Ended() {
+		s.endedStates.Add(id, state)
+	}
+}
+
 // storedState reads the state of a submission from its rows.
 func (s *Scheduler) storedState(ctx context.Context, id string) (guavascale.SubmissionState, error) {
 	submission, progress := guavaqueue.StateKeys(id)
--- a/guavascheduler/term_test.go
+++ b/guavascheduler/term_test.go
@@ -142,6 +142,32 @@
 	}
 }
 
+// Guards against a final state that can't be told while there is no owner, although
+// the daemon has told it before, and against a state that is not final and stays.
+func TestEndedStatesAreRemembered(t *testing.T) {
+	cases := map[string]struct {
+		state      guavascale.SubmissionState
+		remembered bool
+	}{
+		"completed": {guavascale.SubmissionCompleted, true},
+		"cancelled": {guavascale.SubmissionCancelled, true},
+		"running":   {guavascale.SubmissionRunning, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			tm := newTerm(&manualClock{}, &countingRunner{})
+			s := tm.scheduler
+			s.Prepare()
+			s.rememberState("a", tc.state)
+			state, ok := s.endedStates.Get("a")
+			assert.Equal(t, tc.remembered, ok)
+			if ok {
+				assert.Equal(t, tc.state, state)
+			}
+		})
+	}
+}
+
 // Guards against an owner that falls behind and accepts submissions whose starts
 // will be as late, instead of rejecting them while their callers still wait.
 func TestLaggingOwnerRejectsSubmissions(t *testing.T) {
