guavaqueue: the next owner continues the wait for lost workers; tighter leases

Also, a lease was set from a reading taken at the end of a hold but counted from its begin, so it ended up to 2 s later than meant, and the tasks of a lost worker started again that much later. Change: the workers that have not answered are recorded with the time that is left, once a second (row Fleet/missing); the next owner goes on from there. It may, since this owner extends no lease of a recorded worker before the row without it is durable. Leases follow the reading with the lowest upper bound. Ruled out: trusting the platform's list (a worker that is cut off runs on). TestNextOwnerContinuesTheWaitForLostWorkers and TestLeaseFollowsTheTightestReading fail without the change, TestRecordedWorkerGetsNoLeaseWhileItIsRecorded with two runs of one task if the lease is extended. Limit: above some 1,500 missing workers the row is not written.

--- a/guavaqueue/dump.go
+++ b/guavaqueue/dump.go
@@ -66,9 +66,9 @@
 	if e.catalog != nil {
 		d.CatalogVersion = e.catalog.Version
 	}
-	for id := range e.missing {
+	for id, until := range e.missing.until {
 		d.MissingWorkers = append(d.MissingWorkers, id)
-		d.MissingForMs = e.missingUntil.Sub(now).Milliseconds()
+		d.MissingForMs = max(d.MissingForMs, until.Sub(now).Milliseconds())
 	}
 	slices.Sort(d.MissingWorkers)
 	for _, w := range e.workers {
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -64,9 +64,8 @@
 		fleet      map[guavascale.WorkerID]bool
 		fleetDirty bool
 		// missing holds the workers of an earlier owner's fleet that have not
-		// answered yet; tasks of that owner may run there until missingUntil.
-		missing      map[guavascale.WorkerID]bool
-		missingUntil time.Time
+		// answered yet.
+		missing missingWorkers
 		// interference estimates which filler kinds disturb which service kinds.
 		interference interferenceModel
 		// demandByFiller holds, by filler kind, its load as a fraction of the
@@ -259,9 +258,13 @@
 		// fillerMilliCores is the sum of the declared processors of fillers.
 		fillerMilliCores int64
 		// clock is the last reading of the worker's clock, from a call that was
-		// sent at clockSent and answered at clockAt.
-		clock              time.Duration
-		clockSent, clockAt time.Time
+		// answered at clockAt.
+		clock   time.Duration
+		clockAt time.Time
+		// boundClock is the reading, from a call that was sent at boundSent, that
+		// gives the lowest upper bound of the worker's clock.
+		boundClock time.Duration
+		boundSent  time.Time
 		// leaseEnd is the latest lease end that was sent, by the worker's clock.
 		leaseEnd time.Duration
 		// seen is the number of the last end that was applied, acked that of the
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -104,8 +104,7 @@
 		w.bootConfirmed = w.known && (may.Sole || w.bootConfirmed)
 		e.checkLease(now, id, w, may.Sole)
 	}
-	if may.Sole && len(e.missing) > 0 && now.After(e.missingUntil) {
-		clear(e.missing)
+	if may.Sole && e.missing.expire(now) {
 		e.fleetDirty = true
 	}
 	if !may.Act || e.deposed {
@@ -149,9 +148,10 @@
 }
 
 // extendLease extends the worker's lease and returns its end by the worker's
-// clock, or 0 if there is no reading of that clock.
+// clock, or 0 if there is no reading of that clock or a later owner may count on
+// the worker's earlier leases.
 func (e *Engine) extendLease(now time.Time, w *worker) time.Duration {
-	if w.clockAt.IsZero() {
+	if w.clockAt.IsZero() || e.missing.recorded[w.ID] {
 		return 0
 	}
 	end := w.clockNow(now) + min(leaseDuration, e.Limits.LeaseMax)
@@ -263,7 +263,8 @@
 				}
 			case r.phase == phaseStarting && r.unanswered:
 				unsettled++
-				if mayStart && !r.startPending && now.Sub(r.sentAt) > resendAfter && e.fenced(w) && w.failedHolds == 0 {
+				if mayStart && !r.startPending && now.Sub(r.sentAt) > resendAfter && e.fenced(w) && w.failedHolds == 0 &&
+					!e.missing.recorded[w.ID] {
 					e.sendStart(now, r)
 				}
 			}
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -18,6 +18,9 @@
 		subs        []*submission
 		appliedEnds map[*worker]appliedEnds
 		fleet       map[guavascale.WorkerID]bool
+		// missing is the set of recorded missing workers, or nil if the batch
+		// doesn't write it.
+		missing map[guavascale.WorkerID]bool
 	}
 
 	// appliedEnds is the number of the last applied run end of a worker's boot.
@@ -126,13 +129,13 @@
 // Batch returns the rows to commit now, or nil. The owner commits one batch at a
 // time and reports the outcome with Committed or Failed.
 func (e *Engine) Batch(now time.Time) *Batch {
-	if !e.fleetDirty && !e.urgent && (e.dirtySince.IsZero() || now.Sub(e.dirtySince) < commitDelay) && !e.hasUnackedEnds() {
+	if !e.fleetDirty && !e.missing.due(now) && !e.urgent && (e.dirtySince.IsZero() || now.Sub(e.dirtySince) < commitDelay) && !e.hasUnackedEnds() {
 		return nil
 	}
 	b := &Batch{}
 	bytes := 0
 	if e.fleetDirty {
-		b.fleet = make(map[guavascale.WorkerID]bool, len(e.workers)+len(e.missing))
+		b.fleet = make(map[guavascale.WorkerID]bool, len(e.workers)+len(e.missing.until))
 		row := fleetRow{}
 		for id, w := range e.workers {
 			if w.mayHoldRuns() {
@@ -142,7 +145,7 @@
 			// The worker gets no start before it is in the durable fleet again.
 			w.durable = false
 		}
-		for id := range e.missing {
+		for id := range e.missing.until {
 			b.fleet[id] = true
 		}
 		for id := range b.fleet {
@@ -152,6 +155,9 @@
 		bytes += b.add(fleetKey, row)
 		e.fleetDirty = false
 	}
+	if e.missing.due(now) {
+		bytes += e.missing.write(now, e.Token, b)
+	}
 	if e.interference.changed && now.Sub(e.kindsWrittenAt) >= kindsInterval {
 		e.kindsWrittenAt, e.interference.changed = now, false
 		bytes += b.add(kindsKey, e.interference.toRow())
@@ -275,6 +281,7 @@
 // of a later batch.
 func (e *Engine) Failed(now time.Time, b *Batch) {
 	e.fleetDirty = e.fleetDirty || b.fleet != nil
+	e.missing.dirty = e.missing.dirty || b.missing != nil
 	for _, s := range b.subs {
 		s.committing = false
 		if !s.durable {
@@ -319,6 +326,9 @@
 			}
 		}
 	}
+	if b.missing != nil {
+		e.missing.recorded = b.missing
+	}
 	for _, s := range b.subs {
 		s.committing = false
 		if s.removed {
@@ -386,6 +396,7 @@
 func (e *Engine) Restore(now time.Time, rows []guavascale.Row, lastActive time.Time) error {
 	e.subs = make(map[string]*submission)
 	progress := make(map[string]progressRow)
+	var recorded missingRow
 	for _, r := range rows {
 		switch {
 		case strings.HasPrefix(r.Key, submissionPrefix):
@@ -415,13 +426,17 @@
 				return fmt.Errorf("decode row %q: %w", r.Key, err)
 			}
 			e.fleet = make(map[guavascale.WorkerID]bool)
-			e.missing = make(map[guavascale.WorkerID]bool)
 			for _, id := range fr.Workers {
-				e.fleet[id], e.missing[id] = true, true
+				e.fleet[id] = true
+			}
+		case r.Key == missingKey:
+			if err := json.Unmarshal(r.Value, &recorded); err != nil {
+				return fmt.Errorf("decode row %q: %w", r.Key, err)
 			}
 		}
 	}
-	e.missingUntil = lastActive.Add(time.Duration(float64(e.Limits.LeaseMax)*(1+maxClockDrift)) + leaseExpiryMargin)
+	until := lastActive.Add(time.Duration(float64(e.Limits.LeaseMax)*(1+maxClockDrift)) + leaseExpiryMargin)
+	e.missing.restore(now, e.fleet, until, recorded, e.Token)
 	for id, s := range e.subs {
 		e.restore(now, s, progress[id])
 	}
--- a/guavaqueue/takeover_test.go
+++ b/guavaqueue/takeover_test.go
@@ -151,3 +151,70 @@
 	assert.Empty(t, w.runs)
 	assert.Equal(t, 1, f.engine.Pending("fast"))
 }
+
+// Guards against tasks of a lost zone that stay down because each new owner waits for
+// the leases of the lost workers from the beginning.
+func TestNextOwnerContinuesTheWaitForLostWorkers(t *testing.T) {
+	f := newFleet(t, 3)
+	f.submit(serviceOf("a", 6))
+	f.advance(time.Second)
+	for _, w := range f.workers {
+		if len(w.runs) > 0 {
+			w.removed = true
+			break
+		}
+	}
+	f.listWorkers()
+	f.replaceOwner()
+	f.advance(5 * time.Second)
+	require.Less(t, f.countRunning("a"), 6, "the leases of the first owner may still hold")
+	f.replaceOwner()
+	// The first wait takes testLeaseMax and some margin; the second owner loses at
+	// most missingInterval of it.
+	f.advance(3 * time.Second)
+	assert.Equal(t, 6, f.countRunning("a"))
+}
+
+// Guards against a task that runs twice: a worker that was recorded as missing
+// answers, has its leases extended while the record can't be removed, and the next
+// owner goes by the record.
+func TestRecordedWorkerGetsNoLeaseWhileItIsRecorded(t *testing.T) {
+	f := newFleet(t, 2)
+	f.submit(serviceOf("a", 2))
+	f.advance(time.Second)
+	var lost *fakeWorker
+	for _, w := range f.workers {
+		if len(w.runs) > 0 {
+			lost = w
+			break
+		}
+	}
+	lost.unreachable = true
+	f.replaceOwner()
+	f.advance(3500 * time.Millisecond)
+	require.NotEmpty(t, f.engine.missing.recorded)
+	lost.unreachable, f.storeDown = false, true
+	f.advance(1500 * time.Millisecond)
+	lost.unreachable, f.storeDown = true, false
+	f.replaceOwner()
+	// checkRuns fails the test if a task runs twice.
+	f.advance(10 * time.Second)
+	assert.Equal(t, 2, f.countRunning("a"))
+}
+
+// Guards against a lease whose end is set too late because the worker's clock was
+// read at the end of a long hold: the runs of a lost worker started again two
+// seconds later than they could.
+func TestLeaseFollowsTheTightestReading(t *testing.T) {
+	f := newFleet(t, 2)
+	f.submit(serviceOf("a", 2))
+	f.advance(5 * time.Second)
+	for _, w := range f.engine.workers {
+		if len(w.runs) == 0 {
+			continue
+		}
+		real := f.workers[w.ID].clock(f.now)
+		assert.InDelta(t, real.Seconds(), w.clockNow(f.now).Seconds(), 0.1)
+		assert.LessOrEqual(t, w.leaseEnd-real, leaseDuration+100*time.Millisecond)
+	}
+}
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -14,6 +14,9 @@
 	attemptsPerOwner = 10_000
 	// maxClockDrift is the fraction by which a worker's clock may run slow.
 	maxClockDrift = 0.02
+	// maxClockLead bounds how fast a worker's clock may run: it gains at most
+	// one part in maxClockLead on the owner's.
+	maxClockLead = 1000
 	// leaseExpiryMargin must pass after the end of a lease before the lease
 	// counts as expired.
 	leaseExpiryMargin = 250 * time.Millisecond
@@ -114,14 +117,20 @@
 			w.clockAt = time.Time{}
 		}
 	}
+	if w.clockAt.IsZero() || read+now.Sub(sent) <= w.clockNow(now) {
+		w.boundClock, w.boundSent = read, sent
+	}
 	if read > w.clock || w.clockAt.IsZero() {
-		w.clock, w.clockAt, w.clockSent = read, now, sent
+		w.clock, w.clockAt = read, now
 	}
 }
 
-// clockNow returns an upper bound of the worker's clock: the last reading was
-// taken after its call had been sent.
-func (w *worker) clockNow(now time.Time) time.Duration { return w.clock + now.Sub(w.clockSent) }
+// clockNow returns an upper bound of the worker's clock: a reading was taken after
+// its call had been sent.
+func (w *worker) clockNow(now time.Time) time.Duration {
+	passed := now.Sub(w.boundSent)
+	return w.boundClock + passed + passed/maxClockLead
+}
 
 // leaseExpired reports whether the lease of the worker must have expired, also if
 // its clock is as slow as maxClockDrift allows.
@@ -374,10 +383,10 @@
 
 // markReported records that a worker from the fleet of an earlier owner has
 // reported its runs or is gone.
-func (e *Engine) markReported(id guavascale.WorkerID) { delete(e.missing, id) }
+func (e *Engine) markReported(id guavascale.WorkerID) { e.missing.remove(id) }
 
 // inheritedRunsKnown reports whether all runs of earlier owners are known.
-func (e *Engine) inheritedRunsKnown() bool { return len(e.missing) == 0 }
+func (e *Engine) inheritedRunsKnown() bool { return len(e.missing.until) == 0 }
 
 func (e *Engine) addRun(r *run) {
 	t := r.task
