guavashard, guavagateway, guavaclaim, guavadaemon: faults noticed while rewording

A claim stays after a panic: the request may have run. - guavaclaim: one claim without an outcome kept all later keys from expiring (TestKeysExpireBehindAPendingClaim). - guavadaemon: a record that can't be encoded left its task proposed for good. No test: no field of a record can hold such a value. - guavalog: the lease is read without its mutex; it can't change once a log is recovered, and a second Recover now fails. - guavascaled queue: signals were not handled before the listeners were open.

--- a/cmd/guavascaled/queue.go
+++ b/cmd/guavascaled/queue.go
@@ -147,6 +147,10 @@
 func (d *queueDaemon) run() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	// A signal that arrives while the daemon starts is handled once it serves.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP, syscall.SIGUSR1)
+	defer signal.Stop(signals)
 	peerListener, err := net.Listen("tcp4", d.settings.Peer.Listen)
 	if err != nil {
 		return err
@@ -180,7 +184,7 @@
 	go watcher.WatchCatalogs(ctx, d.setCatalog)
 	go d.scheduler.Run(ctx)
 	d.log.Info().Str("Name", d.settings.Name).Str("Instance", d.scheduler.Instance).Msg("daemon: started")
-	return d.serveUntilSignal(ctx)
+	return d.serveUntilSignal(ctx, signals)
 }
 
 // logServeError logs why a server stopped, unless its listener was closed.
@@ -191,9 +195,7 @@
 }
 
 // serveUntilSignal serves until SIGTERM or SIGINT and then shuts down gracefully.
-func (d *queueDaemon) serveUntilSignal(ctx context.Context) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP, syscall.SIGUSR1)
+func (d *queueDaemon) serveUntilSignal(ctx context.Context, signals <-chan os.Signal) error {
 	for sig := range signals {
 		if sig == syscall.SIGTERM || sig == os.Interrupt {
 			break
--- a/guavaclaim/claims_test.go
+++ b/guavaclaim/claims_test.go
@@ -228,6 +228,22 @@
 	assert.Equal(t, 2, d.Keys())
 }
 
+// Guards against a table that fills up because one claim whose commit has no outcome
+// yet keeps all later keys from expiring.
+func TestKeysExpireBehindAPendingClaim(t *testing.T) {
+	p := &Partitions{opt: Options{KeepKeys: time.Minute}}
+	table := newTable("Claim-0", nil)
+	old := time.Unix(1000, 0)
+	for i, state := range []claimState{statePending, stateClaimed, stateClaimed} {
+		table.add(&claim{key: fmt.Sprint(i), claimedAt: old, state: state})
+	}
+	table.add(&claim{key: "new", claimedAt: old.Add(time.Hour), state: stateClaimed})
+	p.expireKeys(table, old.Add(time.Hour))
+	assert.Len(t, table.keys, 2)
+	assert.Contains(t, table.keys, "0", "its outcome is not known")
+	assert.Contains(t, table.keys, "new")
+}
+
 // Guards against a key that is granted twice, or granted again after a
 // release that was not logged, under faults, pauses and ownership changes.
 func TestEachKeyIsGrantedAtMostOnce(t *testing.T) {
--- a/guavaclaim/partitions.go
+++ b/guavaclaim/partitions.go
@@ -217,17 +217,22 @@
 	p.dropAnswer(c.answer)
 }
 
-// expireKeys removes the claims older than KeepKeys. p.mu must be held.
+// expireKeys removes the claims older than KeepKeys, except those whose outcome is
+// not known yet. p.mu must be held.
 func (p *Partitions) expireKeys(t *keyTable, now time.Time) {
 	if t == nil {
 		return
 	}
-	for e := t.order.Front(); e != nil; e = t.order.Front() {
+	var next *list.Element
+	for e := t.order.Front(); e != nil; e = next {
 		c := e.Value.(*claim)
-		if now.Sub(c.claimedAt) < p.opt.KeepKeys || c.state != stateClaimed {
+		if now.Sub(c.claimedAt) < p.opt.KeepKeys {
 			return
 		}
-		p.remove(t, c)
+		next = e.Next()
+		if c.state == stateClaimed {
+			p.remove(t, c)
+		}
 	}
 }
 
--- a/guavadaemon/shards.go
+++ b/guavadaemon/shards.go
@@ -164,6 +164,7 @@
 		data, err := json.Marshal(rec)
 		if err != nil {
 			c.d.Log.Error().Err(err).Str("Partition", string(o.partition)).Msg("shard: encoding a record failed")
+			c.d.mailbox.post(func() { c.handleCommit(ctx, o, shard, a.ID, guavalog.Result{Err: err}) })
 			return
 		}
 		entry.Records = append(entry.Records, data)
@@ -176,6 +177,7 @@
 		return
 	}
 	if r.MayHaveApplied {
+		c.d.Log.Warn().Err(r.Err).Str("Partition", string(o.partition)).Msg("shard: a commit has no known outcome; reading the log again")
 		// The log may hold entries that are missing from the state in memory.
 		c.openLog(ctx, o)
 		return
--- a/guavagateway/attempt.go
+++ b/guavagateway/attempt.go
@@ -1,6 +1,8 @@
 package guavagateway
 
 import (
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -28,8 +30,14 @@
 		conn     *endpointConn
 		canceled bool
 	}
+
+	// faultError reports a panic in an attempt, after which the request may have
+	// run.
+	faultError struct{ fault any }
 )
 
+func (e *faultError) Error() string { return fmt.Sprintf("internal fault: %v", e.fault) }
+
 // sendAttempt makes one attempt, or two concurrent ones if the request is hedged. It
 // returns the attempt that got a response, or else the last one to end, which must
 // be released after use.
@@ -94,9 +102,17 @@
 	return a
 }
 
+// execute sends the request and releases the slot, also after a panic, which may
+// happen on a goroutine of its own.
 func (a *attempt) execute() {
+	defer func() {
+		if fault := recover(); fault != nil {
+			a.g.Log.Error().Interface("Fault", fault).Bytes("Stack", debug.Stack()).Msg("gateway: an attempt panicked")
+			a.result = attemptResult{err: &faultError{fault}, wrote: true}
+		}
+		a.g.releaseSlot(a.pick, a.result)
+	}()
 	a.result = a.g.sendToEndpoint(a)
-	a.g.releaseSlot(a.pick, a.result)
 }
 
 func (a *attempt) executeTo(done chan<- *attempt) {
--- a/guavagateway/call.go
+++ b/guavagateway/call.go
@@ -40,7 +40,7 @@
 )
 
 // minFailureTimeout is the shortest elapsed time for which a timeout counts as a
-// failure of the endpoint. Otherwise a caller with very short deadlines could get
+// failure of the endpoint; a shorter one counts as no result. Otherwise a caller with very short deadlines could get
 // healthy endpoints ejected.
 const minFailureTimeout = time.Second
 
@@ -176,7 +176,8 @@
 		return guavaroute.Result{Elapsed: r.elapsed, Rejected: true}
 	}
 	if failed && r.timedOut() && r.elapsed < minFailureTimeout {
-		failed = false
+		// Neither a failure of the endpoint nor a success of it.
+		return guavaroute.Result{Elapsed: r.elapsed, Rejected: true}
 	}
 	return guavaroute.Result{Elapsed: r.elapsed, Failed: failed, Rejected: r.rejected}
 }
--- a/guavalog/log.go
+++ b/guavalog/log.go
@@ -20,7 +20,8 @@
 
 	mu sync.Mutex
 	// lease is the ownership lease under which the log was recovered. Every
-	// commit is conditional on its owner row.
+	// commit is conditional on its owner row. It never changes after recovered
+	// is set, and commits, which read it without mu, begin after that.
 	lease     guavalease.Lease
 	recovered bool
 	// reopenErr is set once the log must be opened again.
@@ -40,7 +41,10 @@
 	snapshotMu sync.Mutex
 }
 
-var errQueueFull = errors.New("the queue of the log is full")
+var (
+	errQueueFull = errors.New("the queue of the log is full")
+	errRecovered = errors.New("the log was recovered before")
+)
 
 // New returns a log. Recover must be called before it accepts appends.
 func New(opt Options) *Log { return &Log{opt: opt.withDefaults()} }
--- a/guavalog/recover.go
+++ b/guavalog/recover.go
@@ -54,6 +54,9 @@
 func (l *Log) open(lease guavalease.Lease, next uint64) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.recovered {
+		return errRecovered
+	}
 	l.lease = lease
 	if err := l.checkOwnership(); err != nil {
 		return err
--- a/guavaqueue/takeover_test.go
+++ b/guavaqueue/takeover_test.go
@@ -213,8 +213,8 @@
 		if len(w.runs) == 0 {
 			continue
 		}
-		real := f.workers[w.ID].clock(f.now)
-		assert.InDelta(t, real.Seconds(), w.clockNow(f.now).Seconds(), 0.1)
-		assert.LessOrEqual(t, w.leaseEnd-real, leaseDuration+100*time.Millisecond)
+		workerClock := f.workers[w.ID].clock(f.now)
+		assert.InDelta(t, workerClock.Seconds(), w.clockNow(f.now).Seconds(), 0.1)
+		assert.LessOrEqual(t, w.leaseEnd-workerClock, leaseDuration+100*time.Millisecond)
 	}
 }
--- a/guavashard/order_test.go
+++ b/guavashard/order_test.go
@@ -221,6 +221,72 @@
 	}
 }
 
+// Guards against ignoring a checkpoint that arrives while the next start is being
+// committed, if the owner has read the task from a snapshot since the lease expired:
+// a snapshot does not hold the worker of the last attempt.
+func TestWorkerReturnsAfterSnapshotWasLoaded(t *testing.T) {
+	h := newHarness(t, 1, 2)
+	h.declareUntilLogged(testJob("tally", 1, 300))
+	h.run(5 * time.Second)
+	first := h.shard.tasks["tally/0"].task.Worker
+	h.cutOff(first, true)
+	for !awaitsWorker(&h.shard.tasks["tally/0"].task) {
+		h.step()
+	}
+	snap, err := h.shard.Snapshot()
+	require.NoError(t, err)
+	h.shard = New(testName, testZone, 2, h.clock.now)
+	h.commits = nil
+	require.NoError(t, h.shard.Load(snap, nil))
+	for p := h.shard.tasks["tally/0"].proposed; p == nil || p.Attempt != 2; p = h.shard.tasks["tally/0"].proposed {
+		h.step()
+	}
+	h.cutOff(first, false)
+	r, err := h.fleet.Send(t.Context(), h.shard.workers[first].worker, guavascale.Orders{Shard: testName, Epoch: 2})
+	h.perform(h.shard.HandleReport(h.clock.now, h.clock.now, first, r, err))
+	h.run(6 * time.Minute)
+	require.Equal(t, 1, h.status("tally").Done)
+	require.Empty(t, h.fleet.Verdict().Violations)
+}
+
+// Guards against a new owner, or one that has read its log again, that restarts a task
+// from the beginning before the worker of the last attempt has reported to it. The
+// worker had reported the checkpoint before, but that was not committed.
+func TestNewOwnerAwaitsReportsBeforeRestart(t *testing.T) {
+	tests := map[string]struct{ epoch uint64 }{
+		"new owner":          {2},
+		"same owner, reread": {1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1, 2)
+			h.declareUntilLogged(testJob("tally", 1, 300))
+			h.run(5 * time.Second)
+			first := h.shard.tasks["tally/0"].task.Worker
+			h.cutOff(first, true)
+			h.startsRevoked = true
+			for !awaitsWorker(&h.shard.tasks["tally/0"].task) {
+				h.step()
+			}
+			h.cutOff(first, false)
+			r, err := h.fleet.Send(t.Context(), h.shard.workers[first].worker, guavascale.Orders{Shard: testName, Epoch: 1})
+			h.perform(h.shard.HandleReport(h.clock.now, h.clock.now, first, r, err))
+			h.reload(tt.epoch)
+			h.startsRevoked = false
+			heard := h.clock.now.Add(time.Second)
+			h.delay = func(m Message) time.Duration {
+				if m.Worker.ID == first && h.clock.now.Before(heard) {
+					return testStep
+				}
+				return 0
+			}
+			h.run(6 * time.Minute)
+			require.Equal(t, 1, h.status("tally").Done)
+			require.Empty(t, h.fleet.Verdict().Violations)
+		})
+	}
+}
+
 // Guards against handing over a task of an unresponsive worker too early: the
 // old shard would receive its checkpoint after the hand-over, and the new shard
 // would start the task from the beginning.
--- a/guavashard/report.go
+++ b/guavashard/report.go
@@ -145,14 +145,31 @@
 // adoptReportedResult adopts the result of a task's last attempt if the worker
 // reported it while a change of the task was being committed.
 func (s *Shard) adoptReportedResult(e *taskEntry) {
-	w := s.workers[e.previousWorker]
-	if w == nil {
+	id := e.adoptableAttempt()
+	if id == "" || e.task.Attempt == 0 {
 		return
 	}
-	id := e.adoptableAttempt()
-	if a, ok := w.reports[id]; ok && a.State.Ended() {
-		s.adoptResult(w, id, a)
+	if w := s.workers[e.previousWorker]; w != nil {
+		s.adoptFrom(w, id)
+		return
+	}
+	// A snapshot does not hold the worker of the last attempt.
+	for _, w := range s.sortedWorkers {
+		if s.adoptFrom(w, id) {
+			return
+		}
+	}
+}
+
+// adoptFrom adopts the result of an attempt if the worker has reported its end, and
+// reports whether it has.
+func (s *Shard) adoptFrom(w *workerState, id guavascale.AttemptID) bool {
+	a, ok := w.reports[id]
+	if !ok || !a.State.Ended() {
+		return false
 	}
+	s.adoptResult(w, id, a)
+	return true
 }
 
 // reconcileAttempt compares a task that the log assigns to the worker with the
--- a/guavashard/schedule.go
+++ b/guavashard/schedule.go
@@ -84,6 +84,7 @@
 	s.prepareCandidates()
 	slices.SortStableFunc(s.queue, func(a, b *taskEntry) int { return priority(&a.task) - priority(&b.task) })
 	startsAllowed := s.now.Before(s.view.StartUntil) && !s.view.Config.ZonesOut[s.Zone]
+	awaitsReports := s.awaitsFirstReports()
 	var refused refusalCache
 	placed := 0
 	for _, e := range s.queue {
@@ -93,6 +94,10 @@
 		if e.proposed != nil || s.now.Before(e.retryAt) || s.cancelled(&e.task) {
 			continue
 		}
+		if awaitsReports && e.task.Attempt > 0 {
+			e.refusal = "a worker that may hold its last checkpoint has not reported yet"
+			continue
+		}
 		if !s.fitsAnyWorker(&e.task) {
 			e.refusal = "larger than any worker of the fleet"
 			continue
@@ -113,6 +118,15 @@
 	}
 }
 
+// awaitsFirstReports reports whether a worker may still hold a checkpoint that this
+// owner doesn't know: it has not reported since the log was read, and its time to
+// respond has not passed.
+func (s *Shard) awaitsFirstReports() bool {
+	return s.inGracePeriod() && slices.ContainsFunc(s.sortedWorkers, func(w *workerState) bool {
+		return w.listed && w.lastReportAt.IsZero()
+	})
+}
+
 func (s *Shard) compactQueue() {
 	kept := s.queue[:0]
 	for _, e := range s.queue {
