guavaqueue, guavascheduler: stalled short tasks, retries and calls that were not sent

A run now counts as stalled after 0.6 times its estimate, 0.9 to 2.5 s, if a report shows it; a hold ends when the next run should have ended, 0.3 s at least. - 257 answers 502 or 504 to requests that reached no server, which callers can't repeat: a call that found no connection to the owner counted as sent. - 938 answers 503 around 5.4 s without a store: Retry-After was half of the outage so far. It is now the whole of it, 4 s at most, so that five attempts cover 9 s. TestShortStalledTaskIsReplacedSoon and TestUnsentSubmissionIsRejected fail without the change; TestRetryAfterOutlastsOutages asks for 9 s instead of 6. TestSilenceIsNoStall passes before as well.

--- a/guavapeer/client.go
+++ b/guavapeer/client.go
@@ -36,8 +36,19 @@
 		mu    sync.Mutex
 		conns map[string]*rpc.Client
 	}
+
+	// NotSentError reports that a call had no effect, since there was no
+	// connection to the peer.
+	NotSentError struct {
+		Address string
+		Cause   error
+	}
 )
 
+func (e *NotSentError) Error() string { return "connect to peer " + e.Address + ": " + e.Cause.Error() }
+
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
 // DefaultTimeout is the default timeout of a call between daemons.
 const DefaultTimeout = 2 * time.Second
 
@@ -121,7 +132,8 @@
 	}
 	var reply []byte
 	if err := c.pool.Call(ctx, addr, serviceName+".Call", data, &reply); err != nil {
-		return &guavascale.UnavailableError{System: "peer " + addr, Op: string(m), MayHaveApplied: true, Cause: err}
+		var notSent *NotSentError
+		return &guavascale.UnavailableError{System: "peer " + addr, Op: string(m), MayHaveApplied: !errors.As(err, &notSent), Cause: err}
 	}
 	var env envelope
 	if err := cbor.Unmarshal(reply, &env); err != nil {
@@ -133,14 +145,15 @@
 	return cbor.Unmarshal(env.Body, out)
 }
 
-// Call makes one RPC. A connection error or, unless KeepOnTimeout is set, a
+// Call makes one RPC. It fails with NotSentError if there was no connection. A
+// connection error or, unless KeepOnTimeout is set, a
 // timeout closes the connection for good, so that a late response is never
 // delivered to a later call. An error returned by the remote method keeps the
 // connection open.
 func (p *Pool) Call(ctx context.Context, addr, serviceMethod string, in, out any) error {
 	conn, err := p.connect(ctx, addr)
 	if err != nil {
-		return err
+		return &NotSentError{Address: addr, Cause: err}
 	}
 	call := conn.Go(serviceMethod, in, out, make(chan *rpc.Call, 1))
 	select {
--- a/guavaqueue/fleet_test.go
+++ b/guavaqueue/fleet_test.go
@@ -101,6 +101,8 @@
 		startedAt time.Time
 		// work is how long the run takes, 0 for a service.
 		work time.Duration
+		// percent is the progress in the latest report.
+		percent int
 		// stopAt is when a stop takes effect, zero without one.
 		stopAt time.Time
 	}
@@ -405,12 +407,12 @@
 			Clock: guavascale.WorkerClock(w.clock(f.now)), Born: w.info.Born, Ended: append([]guavascale.RunEnd(nil), w.ended...),
 		}
 		for id, r := range w.runs {
-			state := guavascale.RunState{Run: id, Percent: 100}
-			if r.work > 0 {
-				state.Percent = int(100 * f.now.Sub(r.startedAt) / r.work)
+			if r.work > 0 && !w.stuck {
+				r.percent = int(100 * f.now.Sub(r.startedAt) / r.work)
 			}
-			if w.stuck {
-				state.Percent = 0
+			state := guavascale.RunState{Run: id, Percent: r.percent}
+			if r.work == 0 {
+				state.Percent = 100
 			}
 			if spec := f.spec(id.Task); spec.Service {
 				state.Tail = w.tailLatency
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -68,11 +68,14 @@
 	// resendAfter is the time after which an unanswered order is sent again.
 	resendAfter = 300 * time.Millisecond
 	// holdWait is how long a worker with runs may delay its report,
-	// holdWaitIdle applies to one without runs, and holdWaitDisturbed to one
-	// with a service that misses its target beside fillers.
+	// holdWaitIdle applies to one without runs, holdWaitDisturbed to one with a
+	// service that misses its target beside fillers. holdWaitMin applies while a
+	// run is overdue; endMargin is added to the time at which a run should end.
 	holdWait          = 1000 * time.Millisecond
 	holdWaitIdle      = 2000 * time.Millisecond
 	holdWaitDisturbed = 500 * time.Millisecond
+	holdWaitMin       = 300 * time.Millisecond
+	endMargin         = 200 * time.Millisecond
 	// holdTimeoutMargin is added to the wait for the timeout of the call.
 	holdTimeoutMargin = 1000 * time.Millisecond
 	// minHoldInterval is the minimum time between a report and the next hold while
@@ -175,14 +178,14 @@
 		// pending.
 		return
 	}
-	wait := holdWait
+	wait := w.untilNextEnd(now)
 	switch {
 	case !w.known || waiting || w.failedHolds > 0:
 		wait = 0
 	case len(w.runs) == 0:
 		wait = holdWaitIdle
 	case w.fillerMilliCores > 0 && !w.missedSince.IsZero():
-		wait = holdWaitDisturbed
+		wait = min(wait, holdWaitDisturbed)
 	}
 	// The lease of a worker that did not answer is not extended until it answers
 	// again, so that the lease expires if it never does.
--- a/guavaqueue/stragglers.go
+++ b/guavaqueue/stragglers.go
@@ -12,22 +12,31 @@
 const (
 	// stragglerInterval is the minimum time between searches for stragglers.
 	stragglerInterval = 200 * time.Millisecond
-	// stallTimeout is how long a run may make no progress. The longest tasks
-	// take a tenth of a second per percent.
-	stallTimeout = 2500 * time.Millisecond
+	// A run is stalled if a report shows no progress for stallFraction of the
+	// estimated duration, within these bounds. The longest tasks take a tenth of
+	// a second per percent, and half a second on a slow worker; restoring a
+	// checkpoint takes up to 0.6 s.
+	stallFraction   = 0.6
+	minStallTimeout = 900 * time.Millisecond
+	maxStallTimeout = 2500 * time.Millisecond
 	// A run is replaced if its elapsed time is at least stragglerFactor times the
 	// median duration and its remaining time exceeds that by more than
 	// restartCost, the time that a new start takes.
 	stragglerFactor = 1.5
 	restartCost     = 400 * time.Millisecond
+	// fullProgress is the progress of a run in percent that has done its work.
+	fullProgress = 100
 	// maxDurations bounds the number of durations that are kept per step.
 	maxDurations = 32
 )
 
 // recordProgress records the progress of a run from a worker's report.
 func (r *run) recordProgress(now time.Time, percent int) {
-	if percent != r.percent || r.progressAt.IsZero() {
+	switch {
+	case percent != r.percent:
 		r.progressAt = now
+	case r.progressAt.IsZero():
+		r.progressAt = r.startedAt
 	}
 	r.percent = percent
 }
@@ -71,10 +80,10 @@
 
 func (r *run) isStraggler(now time.Time) bool {
 	st := r.task.step
-	if r.phase != phaseRunning || st.spec.Service || st.spec.Gang || r.pace < fullPace || len(r.task.runs) > 1 || r.percent >= 100 {
+	if r.phase != phaseRunning || st.spec.Service || st.spec.Gang || r.pace < fullPace || len(r.task.runs) > 1 || r.percent >= fullProgress {
 		return false
 	}
-	if !r.progressAt.IsZero() && now.Sub(r.progressAt) > stallTimeout {
+	if !r.progressAt.IsZero() && r.worker.reportedAt.Sub(r.progressAt) > r.stallTimeout() {
 		return true
 	}
 	median := st.medianDuration()
@@ -85,6 +94,25 @@
 	return r.remaining(now) > time.Duration(stragglerFactor*float64(median))+restartCost
 }
 
+// stallTimeout returns how long the run may make no progress.
+func (r *run) stallTimeout() time.Duration {
+	expected := time.Duration(stallFraction * float64(r.task.step.spec.Estimate))
+	return min(max(expected, minStallTimeout), maxStallTimeout)
+}
+
+// untilNextEnd returns how long it takes until the first run of the worker should
+// have ended, with some margin, within holdWaitMin and holdWait. If none has, the
+// report shows which run has stalled.
+func (w *worker) untilNextEnd(now time.Time) time.Duration {
+	wait := holdWait
+	for _, r := range w.runs {
+		if r.phase != phaseStopping && !r.task.step.spec.Service && r.percent < fullProgress {
+			wait = min(wait, r.remaining(now)+endMargin)
+		}
+	}
+	return max(wait, holdWaitMin)
+}
+
 // replaceStraggler starts a copy of a straggler on another worker, or stops the
 // straggler so that its task is placed again, if another worker has room.
 func (e *Engine) replaceStraggler(now time.Time, r *run) {
--- a/guavaqueue/takeover_test.go
+++ b/guavaqueue/takeover_test.go
@@ -218,3 +218,42 @@
 		assert.LessOrEqual(t, w.leaseEnd-workerClock, leaseDuration+100*time.Millisecond)
 	}
 }
+
+// Guards against short tasks that hang for several times their duration before they
+// are replaced: on a site of 1,100 workers of which 4% hang, each such task makes its
+// whole step late.
+func TestShortStalledTaskIsReplacedSoon(t *testing.T) {
+	f := newFleet(t, 2)
+	// Workers with services report once a second.
+	services := serviceOf("b", 2)
+	services.Steps[0].MaxPerWorker = 1
+	f.submit(services)
+	f.advance(3 * time.Second)
+	f.submit(batchOf("a", 1, 1, 640*time.Millisecond))
+	f.advance(100 * time.Millisecond)
+	for _, w := range f.workers {
+		for id := range w.runs {
+			w.stuck = w.stuck || id.Task.Submission == "a"
+		}
+	}
+	f.advance(2500 * time.Millisecond)
+	assert.Equal(t, guavascale.SubmissionCompleted, stateOrUnknown(f.engine.State("a")))
+}
+
+// Guards against a run that counts as stalled only because its worker has not
+// reported lately.
+func TestSilenceIsNoStall(t *testing.T) {
+	f := newFleet(t, 2)
+	f.submit(batchOf("a", 1, 1, 4*time.Second))
+	f.advance(time.Second)
+	for _, w := range f.workers {
+		w.unreachable = len(w.runs) > 0
+	}
+	f.advance(1500 * time.Millisecond)
+	for _, w := range f.workers {
+		w.unreachable = false
+	}
+	f.advance(3 * time.Second)
+	assert.Equal(t, guavascale.SubmissionCompleted, stateOrUnknown(f.engine.State("a")))
+	assert.Equal(t, 1, f.starts)
+}
--- a/guavascheduler/outage.go
+++ b/guavascheduler/outage.go
@@ -30,11 +30,11 @@
 		Msg("scheduler: a commit failed or has no known outcome")
 }
 
-// retryAfter returns the retry delay sent to callers. It grows with the outage
-// because the longer an outage has lasted, the longer it is expected to continue,
+// retryAfter returns the retry delay sent to callers. It is as long as the outage so
+// far because the longer an outage has lasted, the longer it is expected to continue,
 // and callers make only a few attempts.
 func retryAfter(outage time.Duration) time.Duration {
-	return min(max(minRetryAfter, outage/2), maxRetryAfter)
+	return min(max(minRetryAfter, outage), maxRetryAfter)
 }
 
 func (l *outageLog) recovered(log zerolog.Logger) {
--- a/guavascheduler/outage_test.go
+++ b/guavascheduler/outage_test.go
@@ -17,7 +17,7 @@
 		at += rejection
 		at += retryAfter(at).Round(time.Second)
 	}
-	assert.Greater(t, at, 6*time.Second, "outage covered by a caller whose first attempt is at its start")
+	assert.Greater(t, at, 9*time.Second, "outage covered by a caller whose first attempt is at its start")
 	assert.Equal(t, minRetryAfter, retryAfter(0))
 	assert.Equal(t, maxRetryAfter, retryAfter(time.Hour))
 }
--- a/guavascheduler/submissions.go
+++ b/guavascheduler/submissions.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavapeer"
 	"guavascale.example/guavaqueue"
 )
 
@@ -29,7 +30,7 @@
 	// grows with the outage up to maxRetryAfter, so that the outage ends before
 	// callers have used up their attempts.
 	minRetryAfter = time.Second
-	maxRetryAfter = 3 * time.Second
+	maxRetryAfter = 4 * time.Second
 )
 
 var _ guavascale.Submissions = (*Scheduler)(nil)
@@ -140,7 +141,10 @@
 		} else if addr != nil {
 			r, err = s.peers.call(ctx, *addr, m, wait, in)
 		}
+		var notSent *guavapeer.NotSentError
 		switch {
+		case errors.As(err, &notSent):
+			// The owner may have ended; the next attempt may find another one.
 		case err != nil || r.Verdict == verdictUnknown:
 			mayHaveApplied = true
 		case r.Verdict == verdictDone:
--- a/guavascheduler/term_test.go
+++ b/guavascheduler/term_test.go
@@ -194,3 +194,17 @@
 		})
 	}
 }
+
+// Guards against a submission whose outcome is reported as unknown, so that its caller
+// can't safely repeat it, though it never left the daemon.
+func TestUnsentSubmissionIsRejected(t *testing.T) {
+	s := &Scheduler{Clock: &manualClock{}, Log: zerolog.Nop()}
+	s.Prepare()
+	gone := "127.0.0.1:1"
+	s.ownerAddr.Store(&gone)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	err := s.Submit(ctx, guavascale.Submission{ID: "a", Steps: []guavascale.Step{{Count: 1}}})
+	var rejected *guavascale.RejectedError
+	require.ErrorAs(t, err, &rejected)
+}
