guavaqueue: callers' rows first, and ends acknowledged one by one

And ends were acknowledged only when nothing had changed since the last commit, so workers repeated them all. Change: rows for which a caller waits go first, up to 60 of 90 while others wait; each end is acknowledged when the change it caused is durable. TestNewSubmissionPassesBacklog, TestBacklogIsWrittenBesideNewSubmissions and TestEndsAreAcknowledgedDuringBacklog each fail without their part.

--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -58,6 +58,8 @@
 
 		dirty      []*submission
 		dirtySince time.Time
+		// changes counts the changes of submissions.
+		changes uint64
 		// urgent is set when a caller waits for the next commit.
 		urgent bool
 		// fleet is the durable set of workers that may hold runs.
@@ -157,7 +159,14 @@
 		// they are part of a batch whose outcome is not known.
 		dirty      bool
 		committing bool
-		waiters    []func(guavascale.SubmissionState)
+		// urgent is set while a caller waits for the next commit of the
+		// submission.
+		urgent bool
+		// changed, writing and written are values of Engine.changes: at the last
+		// change, and at the last one in the batch whose outcome is not known and
+		// in a committed one.
+		changed, writing, written uint64
+		waiters                   []func(guavascale.SubmissionState)
 		// started is set once a worker has confirmed or reported a run.
 		started bool
 		removed bool
@@ -211,6 +220,14 @@
 		inherited bool
 	}
 
+	// unackedEnd is a run end that the worker must keep until the change of the
+	// submission is durable. Sub is nil if the end has changed none.
+	unackedEnd struct {
+		number  uint64
+		sub     *submission
+		changed uint64
+	}
+
 	runPhase int
 
 	// run is an attempt of a task that is or may be running on a worker.
@@ -270,6 +287,8 @@
 		// seen is the number of the last end that was applied, acked that of the
 		// last end that is durable and may be forgotten by the worker.
 		seen, acked uint64
+		// unackedEnds holds the applied ends after acked, in order.
+		unackedEnds []unackedEnd
 		holdPending bool
 		holdAt      time.Time
 		// reportedAt is when the last report arrived.
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -15,20 +15,13 @@
 	Batch struct {
 		Writes []guavascale.Write
 
-		subs        []*submission
-		appliedEnds map[*worker]appliedEnds
-		fleet       map[guavascale.WorkerID]bool
+		subs  []*submission
+		fleet map[guavascale.WorkerID]bool
 		// missing is the set of recorded missing workers, or nil if the batch
 		// doesn't write it.
 		missing map[guavascale.WorkerID]bool
 	}
 
-	// appliedEnds is the number of the last applied run end of a worker's boot.
-	appliedEnds struct {
-		born   int64
-		number uint64
-	}
-
 	// submissionRow is the content of a row "Submission/<id>", which never
 	// changes.
 	submissionRow struct {
@@ -87,6 +80,9 @@
 	kindsInterval = 3 * time.Second
 	// maxBatchRows bounds the rows of a commit; the platform accepts at most 100.
 	maxBatchRows = 90
+	// maxUrgentRows bounds the rows of a commit for which callers wait while
+	// others wait as well.
+	maxUrgentRows = 60
 	// maxBatchBytes bounds the values of a commit. The platform accepts 1 MB of
 	// base64.
 	maxBatchBytes = 500_000
@@ -119,7 +115,9 @@
 	if e.dirtySince.IsZero() {
 		e.dirtySince = now
 	}
-	e.urgent = e.urgent || urgent
+	e.urgent, s.urgent = e.urgent || urgent, s.urgent || urgent
+	e.changes++
+	s.changed = e.changes
 	if !s.dirty {
 		s.dirty = true
 		e.dirty = append(e.dirty, s)
@@ -129,7 +127,7 @@
 // Batch returns the rows to commit now, or nil. The owner commits one batch at a
 // time and reports the outcome with Committed or Failed.
 func (e *Engine) Batch(now time.Time) *Batch {
-	if !e.fleetDirty && !e.missing.due(now) && !e.urgent && (e.dirtySince.IsZero() || now.Sub(e.dirtySince) < commitDelay) && !e.hasUnackedEnds() {
+	if !e.fleetDirty && !e.missing.due(now) && !e.urgent && (e.dirtySince.IsZero() || now.Sub(e.dirtySince) < commitDelay) {
 		return nil
 	}
 	b := &Batch{}
@@ -163,40 +161,48 @@
 		bytes += b.add(kindsKey, e.interference.toRow())
 	}
 	taken := 0
-	for _, s := range e.dirty {
+	dirty := e.takeDirty()
+	for _, s := range dirty {
 		if len(b.Writes)+2 > maxBatchRows || bytes > maxBatchBytes {
 			break
 		}
 		taken++
 		bytes += s.write(b)
-		s.dirty, s.committing = false, true
+		s.dirty, s.committing, s.urgent, s.writing = false, true, false, s.changed
 		b.subs = append(b.subs, s)
 	}
-	e.dirty = append(e.dirty[:0], e.dirty[taken:]...)
+	e.dirty = append(e.dirty[:0], dirty[taken:]...)
 	if len(e.dirty) == 0 {
 		e.dirtySince, e.urgent = time.Time{}, false
-		b.appliedEnds = make(map[*worker]appliedEnds)
-		for _, w := range e.workers {
-			if w.seen > w.acked {
-				b.appliedEnds[w] = appliedEnds{born: w.Born, number: w.seen}
-			}
-		}
 	}
 	return b
 }
 
-// hasUnackedEnds reports whether applied ends are not acknowledged yet although no
-// changed submission waits for a batch.
-func (e *Engine) hasUnackedEnds() bool {
-	if len(e.dirty) > 0 {
-		return false
-	}
-	for _, w := range e.workers {
-		if w.seen > w.acked {
-			return true
+// takeDirty returns the submissions to write next, those that callers wait for first.
+// If the store is slow, hundreds of others wait, of which each commit takes some as
+// well.
+func (e *Engine) takeDirty() []*submission {
+	slices.SortStableFunc(e.dirty, func(a, b *submission) int {
+		switch {
+		case a.urgent == b.urgent:
+			return 0
+		case a.urgent:
+			return -1
+		default:
+			return 1
 		}
-	}
-	return false
+	})
+	urgent := 0
+	for urgent < len(e.dirty) && e.dirty[urgent].urgent {
+		urgent++
+	}
+	if urgent <= maxUrgentRows || urgent == len(e.dirty) {
+		return e.dirty
+	}
+	order := make([]*submission, 0, len(e.dirty))
+	order = append(order, e.dirty[:maxUrgentRows]...)
+	order = append(order, e.dirty[urgent:]...)
+	return append(order, e.dirty[maxUrgentRows:urgent]...)
 }
 
 func (s *submission) write(b *Batch) int {
@@ -287,7 +293,8 @@
 		if !s.durable {
 			s.rowWritten = false
 		}
-		e.markDirty(now, s, true)
+		e.markDirty(now, s, len(s.waiters) > 0)
+		e.urgent = true
 	}
 }
 
@@ -330,7 +337,7 @@
 		e.missing.recorded = b.missing
 	}
 	for _, s := range b.subs {
-		s.committing = false
+		s.committing, s.written = false, s.writing
 		if s.removed {
 			continue
 		}
@@ -354,11 +361,11 @@
 			reply(s.state)
 		}
 	}
-	for w, ends := range b.appliedEnds {
-		if w.Born != ends.born {
+	for _, w := range e.workers {
+		if len(w.unackedEnds) == 0 {
 			continue
 		}
-		w.acked = max(w.acked, ends.number)
+		w.ackDurableEnds()
 		if w.durable && !w.mayHoldRuns() {
 			e.fleetDirty = true
 		}
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -92,7 +92,8 @@
 		e.markLost(now, r, "the worker restarted")
 	}
 	e.emitWorker(now, w, "Restarted", "")
-	w.Born, w.seen, w.acked, w.leaseEnd = born, 0, 0, 0
+	w.Born, w.leaseEnd = born, 0
+	w.resetEnds()
 	w.clockAt, w.holdAt = time.Time{}, time.Time{}
 	w.known, w.bootConfirmed, w.holdPending, w.failedHolds = false, false, false, 0
 }
@@ -113,7 +114,8 @@
 		}
 		if read < w.clock+passed-clockJumpTolerance || read > w.clockNow(now)+clockJumpTolerance {
 			// The next report shows which runs are left.
-			w.seen, w.acked, w.known, w.bootConfirmed = 0, 0, false, false
+			w.resetEnds()
+			w.known, w.bootConfirmed = false, false
 			w.clockAt = time.Time{}
 		}
 	}
@@ -172,9 +174,15 @@
 			continue
 		}
 		last = max(last, end.Number)
-		e.applyEnd(now, w, end)
+		sub := e.applyEnd(now, w, end)
+		pending := unackedEnd{number: end.Number, sub: sub}
+		if sub != nil {
+			pending.changed = sub.changed
+		}
+		w.unackedEnds = append(w.unackedEnds, pending)
 	}
 	w.seen = last
+	w.ackDurableEnds()
 	for _, r := range w.runs {
 		if !listed[r.id] && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
 			e.markLost(now, r, "missing from the worker's report")
@@ -256,20 +264,38 @@
 	return s.steps[i].tasks[ref.Index]
 }
 
-// applyEnd applies the end of a run from a worker's report.
-func (e *Engine) applyEnd(now time.Time, w *worker, end guavascale.RunEnd) {
+// resetEnds makes the worker report all ends again.
+func (w *worker) resetEnds() { w.seen, w.acked, w.unackedEnds = 0, 0, nil }
+
+// ackDurableEnds acknowledges the ends up to the first one that is not durable.
+func (w *worker) ackDurableEnds() {
+	n := 0
+	for _, end := range w.unackedEnds {
+		if end.sub != nil && end.sub.written < end.changed {
+			break
+		}
+		w.acked = max(w.acked, end.number)
+		n++
+	}
+	w.unackedEnds = slices.Delete(w.unackedEnds, 0, n)
+}
+
+// applyEnd applies the end of a run from a worker's report. It returns the
+// submission that the end may have changed, or nil if the task is unknown.
+func (e *Engine) applyEnd(now time.Time, w *worker, end guavascale.RunEnd) *submission {
 	t := e.task(end.Run.Task)
 	if t == nil {
-		return
+		return nil
 	}
+	s := t.step.sub
 	r := w.runs[end.Run]
 	if r == nil && slices.Contains(t.failed, end.Run.Attempt) {
 		// The worker repeats an end that this owner or an earlier one has
 		// already applied.
-		return
+		return s
 	}
 	t.attempt = max(t.attempt, end.Run.Attempt)
-	t.step.sub.started = true
+	s.started = true
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	}
@@ -282,11 +308,11 @@
 		}
 	}
 	e.emit(Event{
-		Kind: EventRunEnded, Submission: t.step.sub.ID, Run: end.Run, Worker: w.ID,
+		Kind: EventRunEnded, Submission: s.ID, Run: end.Run, Worker: w.ID,
 		Outcome: string(end.Outcome), Age: age, Value: float64(len(t.failed)),
 	})
-	if t.done || t.step.sub.state.Ended() {
-		return
+	if t.done || s.state.Ended() {
+		return s
 	}
 	switch end.Outcome {
 	case guavascale.RunDone:
@@ -303,9 +329,10 @@
 		t.avoidWorkers = append(t.avoidWorkers, w.ID)
 		e.applyFailure(now, t, end.Run.Attempt)
 	default:
-		e.markDirty(now, t.step.sub, false)
+		e.markDirty(now, s, false)
 	}
 	e.requeue(t.step)
+	return s
 }
 
 // applyDone applies the successful end of a run of the task.
