guavascheduler: wait for slow commits while repeating them

Change: an attempt is repeated after the same time but its response still counts, up to four at once. TestCommitAttempts: with attempts that end after 250 ms the slow cases never end.

--- /dev/null
+++ b/guavascheduler/commit.go
@@ -0,0 +1,136 @@
+package guavascheduler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"guavascale.example"
+	"guavascale.example/guavaqueue"
+)
+
+// commitResult is the outcome of one attempt of a commit.
+type commitResult struct {
+	id      string
+	start   time.Time
+	version uint64
+	err     error
+}
+
+const (
+	// commitRetryDelay is the delay before a refused commit is attempted again.
+	commitRetryDelay = 50 * time.Millisecond
+	// minRepeatAfter is the time without a response after which a commit is
+	// attempted again. A healthy store takes 10 ms. After a successful commit the
+	// time becomes repeatFactor times the commit's duration; it doubles with each
+	// attempt, up to maxRepeatAfter.
+	minRepeatAfter = 250 * time.Millisecond
+	maxRepeatAfter = 1200 * time.Millisecond
+	repeatFactor   = 4
+	// attemptTimeout is the timeout of an attempt. It covers a store that is a
+	// hundred times slower than a healthy one. It is not higher, so that an
+	// attempt that starts during an outage occupies no connection for long.
+	attemptTimeout = 1200 * time.Millisecond
+	// maxOpenAttempts bounds the attempts of a commit in progress.
+	maxOpenAttempts = 4
+)
+
+// attemptCommit makes a commit. It repeats an attempt without a response but still
+// waits for the response, since the store may only be slow. All attempts have the
+// same condition, so at most one is applied. It returns an UnavailableError only if
+// the commit was definitely not applied.
+func (t *term) attemptCommit(ctx context.Context, b *guavaqueue.Batch, leave bool) error {
+	var writes []guavascale.Write
+	if b != nil {
+		writes = b.Writes
+	}
+	successor, strongest := t.scheduler.successors.strongest(t.scheduler.Clock.Now())
+	t.chain.Strongest = max(strongest, t.scheduler.Strength)
+	if !leave {
+		successor = ""
+	}
+	c := t.chain.Next(newID(), writes, leave, successor)
+	results := make(chan commitResult, maxOpenAttempts)
+	// open counts the attempts without a result. mayHaveApplied is set if one has
+	// ended with an unknown outcome.
+	open, mayHaveApplied := 0, false
+	t.repeatCommitAfter = min(max(t.repeatCommitAfter, minRepeatAfter), maxRepeatAfter)
+	for {
+		if open < maxOpenAttempts {
+			open++
+			go func(c guavascale.Commit) { results <- t.commitOnce(ctx, c) }(c)
+		}
+		res, ok := awaitResult(ctx, results, t.repeatCommitAfter)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case !ok:
+			t.recordFailure(errNoResponse)
+			t.repeatCommitAfter = min(2*t.repeatCommitAfter, maxRepeatAfter)
+			continue
+		}
+		open--
+		if res.id != c.ID {
+			// An attempt with an outdated condition.
+			continue
+		}
+		if res.err == nil {
+			t.finishAttempt(res)
+			return nil
+		}
+		var conditionErr *guavascale.ConditionError
+		if errors.As(res.err, &conditionErr) {
+			applied, err := t.resolveCommit(ctx)
+			if err != nil || applied {
+				return err
+			}
+			c, mayHaveApplied = t.chain.Next(newID(), writes, leave, successor), false
+			continue
+		}
+		var unavailable *guavascale.UnavailableError
+		mayHaveApplied = mayHaveApplied || !errors.As(res.err, &unavailable) || unavailable.MayHaveApplied
+		t.recordFailure(res.err)
+		if !mayHaveApplied && open == 0 {
+			return res.err
+		}
+		sleep(ctx, commitRetryDelay)
+	}
+}
+
+var errNoResponse = errors.New("the store has not responded to a commit yet")
+
+// awaitResult waits for a result. It returns false if there is none after d.
+func awaitResult(ctx context.Context, results <-chan commitResult, d time.Duration) (commitResult, bool) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case res := <-results:
+		return res, true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return commitResult{}, false
+}
+
+func (t *term) commitOnce(ctx context.Context, c guavascale.Commit) commitResult {
+	res := commitResult{id: c.ID, start: t.scheduler.Clock.Now()}
+	res.version, res.err = t.scheduler.commit(ctx, c, attemptTimeout)
+	return res
+}
+
+// finishAttempt records an attempt that was applied.
+func (t *term) finishAttempt(res commitResult) {
+	took := t.scheduler.Clock.Now().Sub(res.start)
+	t.repeatCommitAfter = repeatFactor * took
+	t.scheduler.meters.recordDuration("commit", took)
+	t.chain.Applied(res.version)
+	t.recordCommit(res.start)
+	t.outage.recovered(t.scheduler.Log)
+}
+
+// recordFailure records an attempt that was refused or has no response.
+func (t *term) recordFailure(err error) {
+	t.failures.Add(1)
+	t.scheduler.meters.count("commit.Failed", 1)
+	t.outage.failed(t.scheduler.Log, t.scheduler.Clock.Now(), err)
+}
--- /dev/null
+++ b/guavascheduler/commit_test.go
@@ -0,0 +1,108 @@
+package guavascheduler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
+	"guavascale.example/guavaowner"
+	"guavascale.example/guavaqueue"
+)
+
+// scriptedTable answers the n-th commit by calling commits[n], and reads of the head
+// row with head.
+type scriptedTable struct {
+	guavascale.Table
+	commits []func(ctx context.Context) (uint64, error)
+	head    guavaowner.Head
+	// headVersion is the version of the head row.
+	headVersion uint64
+	n           atomic.Int64
+}
+
+func (s *scriptedTable) Commit(ctx context.Context, _ guavascale.Commit) (uint64, error) {
+	n := int(s.n.Add(1)) - 1
+	return s.commits[min(n, len(s.commits)-1)](ctx)
+}
+
+func (s *scriptedTable) Get(context.Context, string) (guavascale.Row, error) {
+	value, err := json.Marshal(s.head)
+	return guavascale.Row{Key: guavaowner.HeadKey, Version: s.headVersion, Value: value}, err
+}
+
+// Guards against an owner that gives up an attempt in a slow store, which applies it
+// nevertheless: the next attempt then fails its condition, and every commit took
+// several times as long as the store. And against outcomes that are reported wrongly
+// if attempts overlap.
+func TestCommitAttempts(t *testing.T) {
+	unavailable := func(mayHaveApplied bool) error {
+		return &guavascale.UnavailableError{System: "store", Op: "commit", Cause: errors.New("test"), MayHaveApplied: mayHaveApplied}
+	}
+	after := func(d time.Duration, version uint64, err error) func(context.Context) (uint64, error) {
+		return func(ctx context.Context) (uint64, error) {
+			sleep(ctx, d)
+			if ctx.Err() != nil {
+				return 0, unavailable(true)
+			}
+			return version, err
+		}
+	}
+	silent := after(time.Hour, 0, nil)
+	outdated := after(0, 0, &guavascale.ConditionError{Key: guavaowner.HeadKey})
+	applied := guavaowner.Head{Epoch: 3, Owner: "a", Number: 1}
+	cases := map[string]struct {
+		commits []func(context.Context) (uint64, error)
+		head    guavaowner.Head
+		// version is the version of the head row that the chain ends with.
+		version    uint64
+		notApplied bool
+		lost       bool
+		// maxFailures bounds the failures, of which outageThreshold are an outage.
+		maxFailures int64
+	}{
+		"prompt":             {commits: []func(context.Context) (uint64, error){after(0, 7, nil)}, version: 7},
+		"slow":               {commits: []func(context.Context) (uint64, error){after(400*time.Millisecond, 7, nil), silent}, version: 7, maxFailures: 1},
+		"response lost":      {commits: []func(context.Context) (uint64, error){silent, outdated}, head: applied, version: 9, maxFailures: 1},
+		"request lost":       {commits: []func(context.Context) (uint64, error){silent, after(0, 8, nil)}, version: 8, maxFailures: 1},
+		"refused":            {commits: []func(context.Context) (uint64, error){after(0, 0, unavailable(false))}, notApplied: true, maxFailures: 1},
+		"slow, then refused": {commits: []func(context.Context) (uint64, error){after(400*time.Millisecond, 7, nil), after(0, 0, unavailable(false)), silent}, version: 7, maxFailures: 3},
+		"lost, then refused": {commits: []func(context.Context) (uint64, error){after(0, 0, unavailable(true)), after(0, 0, unavailable(false)), after(0, 8, nil)}, version: 8, maxFailures: 2},
+		"another owner":      {commits: []func(context.Context) (uint64, error){outdated}, head: guavaowner.Head{Epoch: 4, Owner: "b"}, lost: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tm := newTerm(&manualClock{}, &countingRunner{})
+			tm.scheduler.meters.count("commit.Failed", 0)
+			tm.scheduler.Table = &scriptedTable{commits: tc.commits, head: tc.head, headVersion: 9}
+			tm.chain = guavaowner.Chain{Head: guavaowner.Head{Epoch: 3, Owner: "a"}, Version: 5}
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			err := tm.attemptCommit(ctx, &guavaqueue.Batch{}, false)
+			var (
+				lost       *guavaowner.LostError
+				notApplied *guavascale.UnavailableError
+			)
+			switch {
+			case tc.lost:
+				require.ErrorAs(t, err, &lost)
+			case tc.notApplied:
+				require.ErrorAs(t, err, &notApplied)
+				assert.False(t, notApplied.MayHaveApplied)
+			default:
+				require.NoError(t, err)
+				assert.Equal(t, tc.version, tm.chain.Version)
+				assert.Equal(t, uint64(1), tm.chain.Number)
+			}
+			assert.LessOrEqual(t, metrics.GetOrRegisterCounter("commit.Failed", tm.scheduler.meters.counters).Count(), tc.maxFailures)
+		})
+	}
+}
--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -66,7 +66,8 @@
 		meters    meters
 		catalog   atomic.Pointer[guavascale.Catalog]
 		term      atomic.Pointer[term]
-		// endedStates holds the final states of submissions.
+		// endedStates holds the final states of submissions. It is nil before
+		// Prepare.
 		endedStates *expirable.LRU[string, guavascale.SubmissionState]
 		// ownerAddr is the last known address of an owner other than this
 		// daemon, or nil if unknown.
--- a/guavascheduler/submissions.go
+++ b/guavascheduler/submissions.go
@@ -47,7 +47,7 @@
 // is known, it reads the state from the table, which is always authoritative. A
 // final state never changes and is remembered, since callers often ask again.
 func (s *Scheduler) State(ctx context.Context, id string) (guavascale.SubmissionState, error) {
-	if state, ok := s.endedStates.Get(id); ok {
+	if state, ok := s.rememberedState(id); ok {
 		s.meters.count("request.State.Remembered", 1)
 		return state, nil
 	}
@@ -66,8 +66,15 @@
 	return r.State, err
 }
 
+func (s *Scheduler) rememberedState(id string) (guavascale.SubmissionState, bool) {
+	if s.endedStates == nil {
+		return "", false
+	}
+	return s.endedStates.Get(id)
+}
+
 func (s *Scheduler) rememberState(id string, state guavascale.SubmissionState) {
-	if state.Ended() {
+	if s.endedStates != nil && state.Ended() {
 		s.endedStates.Add(id, state)
 	}
 }
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -42,11 +42,11 @@
 	// to be complete, in Unix nanoseconds of the scheduler's clock. Any goroutine
 	// may read it.
 	listAsOf atomic.Int64
-	// commitTimeout is the timeout of the next commit attempt. It is accessed
-	// by the commit in progress only.
-	commitTimeout time.Duration
-	committing    bool
-	lastSummary   time.Time
+	// repeatCommitAfter is the time after which the next commit attempt is
+	// repeated. It is accessed by the commit in progress only.
+	repeatCommitAfter time.Duration
+	committing        bool
+	lastSummary       time.Time
 	// startedAt is the start time of the term. yielding is set once the term is
 	// ending in favor of a stronger daemon.
 	startedAt time.Time
@@ -88,17 +88,6 @@
 	maxLoadRetries = 20
 	// summaryInterval is the interval between log lines with shard statistics.
 	summaryInterval = 2 * time.Second
-	// commitRetryDelay is the delay between attempts of a commit.
-	commitRetryDelay = 50 * time.Millisecond
-	// minCommitTimeout is the timeout of a commit attempt against a healthy
-	// store, which takes 10 ms. After a successful commit the timeout becomes
-	// commitTimeoutFactor times the commit's duration; it doubles after each
-	// attempt without a response. maxCommitTimeout covers a store that is a
-	// hundred times slower. It is not set higher, because an attempt that
-	// starts during an outage must not delay commits after the store has recovered.
-	minCommitTimeout    = 250 * time.Millisecond
-	maxCommitTimeout    = 1200 * time.Millisecond
-	commitTimeoutFactor = 4
 	// outageThreshold is the number of consecutive failed commit attempts after
 	// which the store is considered unreachable.
 	outageThreshold = 2
@@ -292,55 +281,6 @@
 	t.engine.Withdraw(now.Add(-withdrawAfter))
 }
 
-// attemptCommit makes a commit and retries it while its outcome is unknown. It
-// returns an UnavailableError only if the commit was definitely not applied.
-func (t *term) attemptCommit(ctx context.Context, b *guavaqueue.Batch, leave bool) error {
-	var writes []guavascale.Write
-	if b != nil {
-		writes = b.Writes
-	}
-	successor, strongest := t.scheduler.successors.strongest(t.scheduler.Clock.Now())
-	t.chain.Strongest = max(strongest, t.scheduler.Strength)
-	if !leave {
-		successor = ""
-	}
-	c := t.chain.Next(newID(), writes, leave, successor)
-	mayHaveApplied := false
-	for ctx.Err() == nil {
-		start := t.scheduler.Clock.Now()
-		t.commitTimeout = min(max(t.commitTimeout, minCommitTimeout), maxCommitTimeout)
-		version, err := t.scheduler.commit(ctx, c, t.commitTimeout)
-		if err == nil {
-			t.commitTimeout = commitTimeoutFactor * t.scheduler.Clock.Now().Sub(start)
-			t.scheduler.meters.recordDuration("commit", t.scheduler.Clock.Now().Sub(start))
-			t.chain.Applied(version)
-			t.recordCommit(start)
-			t.outage.recovered(t.scheduler.Log)
-			return nil
-		}
-		var conditionErr *guavascale.ConditionError
-		if errors.As(err, &conditionErr) {
-			applied, err := t.resolveCommit(ctx)
-			if err != nil || applied {
-				return err
-			}
-			c, mayHaveApplied = t.chain.Next(newID(), writes, leave, successor), false
-			continue
-		}
-		t.failures.Add(1)
-		t.scheduler.meters.count("commit.Failed", 1)
-		t.outage.failed(t.scheduler.Log, start, err)
-		var unavailable *guavascale.UnavailableError
-		mayHaveApplied = mayHaveApplied || !errors.As(err, &unavailable) || unavailable.MayHaveApplied
-		if !mayHaveApplied {
-			return err
-		}
-		t.commitTimeout *= 2
-		sleep(ctx, commitRetryDelay)
-	}
-	return ctx.Err()
-}
-
 // resolveCommit reads the head row to determine whether an earlier attempt of a
 // commit whose condition failed was applied.
 func (t *term) resolveCommit(ctx context.Context) (bool, error) {
