--- a/guavascheduler/commit.go
+++ b/guavascheduler/commit.go
@@ -31,8 +31,9 @@
 	// hundred times slower than a healthy one. It is not higher, so that an
 	// attempt that starts during an outage occupies no connection for long.
 	attemptTimeout = 1200 * time.Millisecond
-	// maxOpenAttempts bounds the attempts of a commit in progress.
-	maxOpenAttempts = 4
+	// maxOpenAttempts bounds the attempts of a commit in progress. A part of the
+	// store that is slow refuses calls once a second of them is waiting.
+	maxOpenAttempts = 2
 )
 
 // attemptCommit makes a commit. It repeats an attempt without a response but still
