guavascheduler: a new owner commits heartbeats while it loads the rows

From the code: with a store 60 times slower, 3,400 rows take 13 reads of 240 ms one after the other; without a commit for 2.2 s the next daemon claims, and begins to load as well. TestLoadingOwnerCommitsHeartbeats never ends without the heartbeats.

--- a/guavaowner/guavaowner.go
+++ b/guavaowner/guavaowner.go
@@ -58,6 +58,10 @@
 		FirstDelay time.Duration
 		// Strength is the processor time of the daemon, in cores.
 		Strength float64
+		// Spread, between 0 and 1, differs between candidates. Their claims are
+		// spread over SpreadFactor times the duration of a read, since a slow
+		// store refuses calls that arrive together.
+		Spread float64
 		// ReadTook is the duration of the latest read of the head.
 		ReadTook time.Duration
 
@@ -88,9 +92,11 @@
 	Heartbeat = 500 * time.Millisecond
 	// SilentFor is how long a head must be unchanged before it is claimed, in a
 	// store without latency; it covers two heartbeats. ReadTimeFactor times the
-	// duration of a read is added, since commits are slow when reads are.
+	// duration of a read is added, since commits are slow when reads are, and up
+	// to SpreadFactor times that duration.
 	SilentFor      = 1200 * time.Millisecond
 	ReadTimeFactor = 4
+	SpreadFactor   = 4
 	// RefusedFor replaces SilentFor when the owner's host refuses connections,
 	// which shows that the owner's process has ended.
 	RefusedFor = 800 * time.Millisecond
@@ -154,7 +160,7 @@
 		// The earlier process that owned the shard from this address must have
 		// ended, since this process has the address now.
 		fallthrough
-	case h.Left && h.Heir == c.Owner, h.Left && silent >= c.Delay+c.heirDelay(h), refused && silent >= RefusedFor+c.Delay, silent >= SilentFor+ReadTimeFactor*c.ReadTook+c.Delay:
+	case h.Left && h.Heir == c.Owner, h.Left && silent >= c.Delay+c.heirDelay(h), refused && silent >= RefusedFor+c.Delay, silent >= SilentFor+ReadTimeFactor*c.ReadTook+c.spread()+c.Delay:
 		return &Chain{
 			Head:    Head{Epoch: h.Epoch + 1, Owner: c.Owner, Address: c.Address},
 			Version: version,
@@ -172,6 +178,11 @@
 	return WeakDaemonDelay
 }
 
+// spread returns the candidate's part of the time over which claims are spread.
+func (c *Candidate) spread() time.Duration {
+	return time.Duration(SpreadFactor * c.Spread * float64(c.ReadTook))
+}
+
 // heirDelay returns how long a candidate waits for the heir's claim, so that
 // concurrent claims don't delay each other in a slow store.
 func (c *Candidate) heirDelay(h Head) time.Duration {
--- a/guavascheduler/commit_test.go
+++ b/guavascheduler/commit_test.go
@@ -106,3 +106,65 @@
 		})
 	}
 }
+
+// slowScanTable returns the rows of a scan only after a commit has been made.
+type slowScanTable struct {
+	guavascale.Table
+	committed chan struct{}
+	lost      bool
+}
+
+func (s *slowScanTable) Commit(context.Context, guavascale.Commit) (uint64, error) {
+	if s.lost {
+		return 0, &guavascale.ConditionError{Key: guavaowner.HeadKey}
+	}
+	select {
+	case s.committed <- struct{}{}:
+	default:
+	}
+	return 7, nil
+}
+
+func (s *slowScanTable) Get(context.Context, string) (guavascale.Row, error) {
+	value, err := json.Marshal(guavaowner.Head{Epoch: 9, Owner: "b"})
+	return guavascale.Row{Key: guavaowner.HeadKey, Version: 9, Value: value}, err
+}
+
+func (s *slowScanTable) Scan(ctx context.Context, prefix, after string, _ int) ([]guavascale.Row, error) {
+	if prefix == "Fleet/" && after == "" {
+		select {
+		case <-s.committed:
+			return []guavascale.Row{{Key: "Fleet/all", Value: []byte("{}")}}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return nil, nil
+}
+
+// Guards against a new owner that makes no commit while it loads the rows: on a site
+// of 1,100 workers with a slow store, other daemons claimed the shard one after the
+// other, and nobody owned it for ten seconds.
+func TestLoadingOwnerCommitsHeartbeats(t *testing.T) {
+	cases := map[string]struct{ lost bool }{
+		"owner":              {false},
+		"shard is lost soon": {true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tm := newTerm(&manualClock{}, &countingRunner{})
+			tm.scheduler.Table = &slowScanTable{committed: make(chan struct{}, 1), lost: tc.lost}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			rows, err := tm.loadRows(ctx)
+			if tc.lost {
+				var lost *guavaowner.LostError
+				require.ErrorAs(t, err, &lost)
+				return
+			}
+			require.NoError(t, err)
+			assert.Len(t, rows, 1)
+		})
+	}
+}
--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -151,7 +151,7 @@
 	defer close(s.stopped)
 	c := &guavaowner.Candidate{
 		Owner: s.Instance, Address: s.Address,
-		Delay: claimDelay(), FirstDelay: s.firstClaimDelay(), Strength: s.Strength,
+		Delay: claimDelay(), FirstDelay: s.firstClaimDelay(), Strength: s.Strength, Spread: rand.Float64(),
 	}
 	refused := false
 	for ctx.Err() == nil && !s.leaving.Load() {
@@ -287,7 +287,7 @@
 	defer t.closePools()
 	log := s.Log.With().Uint64("Epoch", chain.Epoch).Logger()
 	t.recordCommit(s.Clock.Now())
-	rows, err := s.loadRows(ctx)
+	rows, err := t.loadRows(ctx)
 	if err == nil {
 		err = t.engine.Restore(s.Clock.Now(), rows, lastActive)
 	}
@@ -305,33 +305,6 @@
 	log.Info().Err(err).Msg("scheduler: the term has ended")
 }
 
-// loadRows reads all rows of the shard.
-func (s *Scheduler) loadRows(ctx context.Context) ([]guavascale.Row, error) {
-	var rows []guavascale.Row
-	for _, prefix := range guavaqueue.RowPrefixes() {
-		after := ""
-		for failures := 0; ; {
-			callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
-			page, err := s.Table.Scan(callCtx, prefix, after, loadPageSize)
-			cancel()
-			if err != nil {
-				if failures++; failures > maxLoadRetries || ctx.Err() != nil {
-					return nil, err
-				}
-				sleep(ctx, headReadInterval)
-				continue
-			}
-			failures = 0
-			rows = append(rows, page...)
-			if len(page) == 0 {
-				break
-			}
-			after = page[len(page)-1].Key
-		}
-	}
-	return rows, nil
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -82,10 +82,6 @@
 	// shard to a daemon whose strength exceeds its own by the factor yieldRatio.
 	yieldDelay = 2 * time.Second
 	yieldRatio = 1.5
-	// loadPageSize is the page size of the scans at the start of a term, and
-	// maxLoadRetries the number of retries per page.
-	loadPageSize   = 500
-	maxLoadRetries = 20
 	// summaryInterval is the interval between log lines with shard statistics.
 	summaryInterval = 2 * time.Second
 	// outageThreshold is the number of consecutive failed commit attempts after
