--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := . cmd/guavabench cmd/guavactl cmd/guavademo cmd/guavaplatform cmd/guavascaled cmd/guavasoak
 MEASUREMENTS := routing interference placement zones recovery changes
 
-.PHONY: build test fmt fmt-check lint wire-check spec demo soak bench capacity
+.PHONY: build test fmt fmt-check lint wire-check spec demo soak bench
 
 build:
 	@mkdir -p bin
@@ -49,8 +49,3 @@
 	@mkdir -p out
 	@for t in $(MEASUREMENTS); do \
 		bin/guavabench $$t --commit $$(git rev-parse --short HEAD) --output out/$$t.md || exit 1; done
-
-capacity: build
-	bin/guavabench capacity --commit $$(git rev-parse --short HEAD)
-	go test ./guavapeer -run '^$$' -bench Gossip -benchtime 60x
-	go test ./guavapeer -run '^$$' -bench Spread -benchtime 1x
--- a/cmd/guavabench/main.go
+++ b/cmd/guavabench/main.go
@@ -9,8 +9,6 @@
 import "github.com/alecthomas/kong"
 
 type cli struct {
-	Capacity       capacityCmd       `cmd:"" help:"Measure the control-plane cost of one daemon by owned workers, fleet size and peers."`
-	CapacityDaemon capacityDaemonCmd `cmd:"" hidden:"" help:"Run the daemon that the capacity command measures."`
 	Changes        changesCmd        `cmd:"" help:"Measure how fast configuration changes take effect, with all daemons in one process."`
 	Recovery       recoveryCmd       `cmd:"" help:"Measure how the system recovers from failures, with all daemons in one process."`
 	Routing        routingCmd        `cmd:"" help:"Compare routing policies in a queueing model and measure the gateway's own cost."`
