guavaowner, guavaqueue, guavascheduler: leases end nine seconds after the last commit

A new owner waited for 5 s in which the old one may give orders, and then for the longest lease of a worker, 10 s and its drift. Change: an owner lets no lease end later than 9 s after the start of its last commit, and says so in the head once that holds for all earlier leases as well; the next owner waits for that. A head of an earlier version has no such field: the wait is as before. Runs outlast 9 s without a store instead of 10.5. Found on the way: after a lost answer, a commit counted from the read that showed its outcome, not from its first attempt, so an owner could take itself for the only one up to half a second after another may have claimed (TestCommitCountsFromItsFirstAttempt).

--- a/guavaowner/guavaowner.go
+++ b/guavaowner/guavaowner.go
@@ -43,6 +43,10 @@
 		// Strongest is the processor time, in cores, of the strongest daemon known
 		// to the owner, including itself.
 		Strongest float64 `json:",omitempty"`
+		// LeaseBoundMs bounds the leases of the epoch and of all earlier ones:
+		// none ends later than this after the owner's last commit. 0 means that
+		// there is no such bound, as in earlier versions.
+		LeaseBoundMs int64 `json:",omitempty"`
 	}
 
 	// Candidate is a daemon that does not own the shard.
@@ -58,6 +62,9 @@
 		FirstDelay time.Duration
 		// Strength is the processor time of the daemon, in cores.
 		Strength float64
+		// LeaseBound is how long after its last commit the daemon, as the owner,
+		// lets leases end at the latest.
+		LeaseBound time.Duration
 		// Spread, between 0 and 1, differs between candidates. Their claims are
 		// spread over SpreadFactor times the duration of a read, since a slow
 		// store refuses calls that arrive together.
@@ -126,16 +133,24 @@
 // Head returns the latest head that was read.
 func (c *Candidate) Head() Head { return c.head }
 
-// LastActive returns the latest time at which the owner in the latest head may
-// have given an order, for a claim that is made now. OwnerLease is how long an
-// owner continues after its last commit.
-func (c *Candidate) LastActive(now time.Time, ownerLease time.Duration) time.Time {
-	until := c.since.Add(ownerLease)
+// LeasesEnd returns the time at which all leases that earlier owners granted must have
+// ended, for a claim that is made now. OwnerLease is how long an owner continues to
+// give orders after its last commit, and maxLease the longest lease that a worker
+// grants.
+func (c *Candidate) LeasesEnd(now time.Time, ownerLease, maxLease time.Duration) time.Time {
+	lastOrder := c.since.Add(ownerLease)
 	stopped := c.head.Left || c.head.Address == c.Address
-	if stopped && now.Before(until) {
-		return now
+	if stopped && now.Before(lastOrder) {
+		lastOrder = now
 	}
-	return until
+	end := lastOrder.Add(maxLease)
+	if c.head.LeaseBoundMs > 0 {
+		bound := c.since.Add(time.Duration(c.head.LeaseBoundMs) * time.Millisecond)
+		if bound.Before(end) {
+			return bound
+		}
+	}
+	return end
 }
 
 // Reset restarts the observation of the head, after a sign that the owner is
@@ -162,7 +177,7 @@
 		fallthrough
 	case h.Left && h.Heir == c.Owner, h.Left && silent >= c.Delay+c.heirDelay(h), refused && silent >= RefusedFor+c.Delay, silent >= SilentFor+ReadTimeFactor*c.ReadTook+c.spread()+c.Delay:
 		return &Chain{
-			Head:    Head{Epoch: h.Epoch + 1, Owner: c.Owner, Address: c.Address},
+			Head:    Head{Epoch: h.Epoch + 1, Owner: c.Owner, Address: c.Address, LeaseBoundMs: c.claimedLeaseBound(h)},
 			Version: version,
 		}
 	default:
@@ -178,6 +193,16 @@
 	return WeakDaemonDelay
 }
 
+// claimedLeaseBound returns the bound for a claim that follows a head. Without a bound
+// for the leases of earlier owners there is none for the epoch either, until these
+// leases have ended.
+func (c *Candidate) claimedLeaseBound(h Head) int64 {
+	if h.Epoch > 0 && h.LeaseBoundMs == 0 {
+		return 0
+	}
+	return max(h.LeaseBoundMs, c.LeaseBound.Milliseconds())
+}
+
 // spread returns the candidate's part of the time over which claims are spread.
 func (c *Candidate) spread() time.Duration {
 	return time.Duration(SpreadFactor * c.Spread * float64(c.ReadTook))
--- a/guavaowner/guavaowner_test.go
+++ b/guavaowner/guavaowner_test.go
@@ -124,24 +124,50 @@
 	assert.Equal(t, Head{Epoch: 2, Owner: "me", Number: 6, Left: true, Heir: "heir"}, h)
 }
 
-// Guards against a new owner that waits although the former owner can't give
-// orders any more, and against one that doesn't wait for the orders of an owner
-// that is only disconnected.
-func TestLastActive(t *testing.T) {
-	const lease, silent = 5 * time.Second, 2 * time.Second
+// Guards against a new owner that waits although the leases of the former owner must
+// have ended, and against one that doesn't wait for the leases of an owner that is
+// only disconnected, or of an earlier version.
+func TestLeasesEnd(t *testing.T) {
+	const ownerLease, maxLease, silent = 5 * time.Second, 10 * time.Second, 2 * time.Second
 	tests := map[string]struct {
 		head Head
 		want time.Duration
 	}{
-		"silent owner":         {Head{Owner: "other-1", Address: "other"}, lease},
-		"owner that left":      {Head{Owner: "other-1", Address: "other", Left: true}, silent},
-		"process of this host": {Head{Owner: "me-0", Address: "here"}, silent},
+		"silent owner":            {Head{Owner: "other-1", Address: "other"}, ownerLease + maxLease},
+		"owner that left":         {Head{Owner: "other-1", Address: "other", Left: true}, silent + maxLease},
+		"process of this host":    {Head{Owner: "me-0", Address: "here"}, silent + maxLease},
+		"bounded leases":          {Head{Owner: "other-1", Address: "other", LeaseBoundMs: 9000}, 9 * time.Second},
+		"bound beyond the leases": {Head{Owner: "other-1", Address: "other", LeaseBoundMs: 30_000}, ownerLease + maxLease},
+		"bounded, left":           {Head{Owner: "other-1", Address: "other", Left: true, LeaseBoundMs: 9000}, 9 * time.Second},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := Candidate{Owner: "me-1", Address: "here"}
 			c.Record(start, tt.head, 1)
-			assert.Equal(t, start.Add(tt.want), c.LastActive(start.Add(silent), lease))
+			assert.Equal(t, start.Add(tt.want), c.LeasesEnd(start.Add(silent), ownerLease, maxLease))
+		})
+	}
+}
+
+// Guards against a bound that an owner promises although an earlier version granted
+// leases without one.
+func TestLeaseBoundIsPromisedOnceItHolds(t *testing.T) {
+	tests := map[string]struct {
+		head Head
+		want int64
+	}{
+		"first owner":              {Head{}, 9000},
+		"after a bounded epoch":    {Head{Epoch: 3, Owner: "other-1", LeaseBoundMs: 9000}, 9000},
+		"after a longer bound":     {Head{Epoch: 3, Owner: "other-1", LeaseBoundMs: 12_000}, 12_000},
+		"after an earlier version": {Head{Epoch: 3, Owner: "other-1"}, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := Candidate{Owner: "me-1", Address: "here", LeaseBound: 9 * time.Second}
+			c.Observe(start, tt.head, 1, false)
+			claim := c.Observe(start.Add(time.Minute), tt.head, 1, false)
+			require.NotNil(t, claim)
+			assert.Equal(t, tt.want, claim.LeaseBoundMs)
 		})
 	}
 }
--- a/guavaqueue/fleet_test.go
+++ b/guavaqueue/fleet_test.go
@@ -28,6 +28,8 @@
 		rows    map[string][]byte
 		// storeDown makes the store refuse commits.
 		storeDown bool
+		// lastCommit is the time of the last commit or heartbeat.
+		lastCommit time.Time
 		// otherOwnerPossible is set while another daemon may own the shard.
 		otherOwnerPossible bool
 		// listIsStale is set while the owner may start no runs.
@@ -112,6 +114,8 @@
 	fleetTick     = 25 * time.Millisecond
 	testStopGrace = 100 * time.Millisecond
 	testLeaseMax  = 6 * time.Second
+	// testLeaseBound is how long after the last commit leases end at the latest.
+	testLeaseBound = 5800 * time.Millisecond
 	// testDisturbMax is the setting of the platform's smaller sites.
 	testDisturbMax = 4 * time.Second
 )
@@ -123,7 +127,7 @@
 
 func newFleet(t testing.TB, workers int) *fleet {
 	f := &fleet{
-		t: t, now: testEpoch, limits: Limits{
+		t: t, now: testEpoch, lastCommit: testEpoch, limits: Limits{
 			LeaseMax: testLeaseMax, StopGrace: testStopGrace, OwnerLease: 5 * time.Second, Keep: time.Hour, RackPenalty: 2,
 			DisturbMax: testDisturbMax,
 		},
@@ -179,7 +183,12 @@
 		rows = append(rows, guavascale.Row{Key: k, Value: v})
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	if err := f.engine.Restore(f.now, rows, f.now); err != nil {
+	leasesEnd := f.now.Add(LongestLease(testLeaseMax))
+	if bound := f.lastCommit.Add(testLeaseBound); bound.Before(leasesEnd) {
+		leasesEnd = bound
+	}
+	leasesEnd = leasesEnd.Add(LeaseExpiryMargin)
+	if err := f.engine.Restore(f.now, rows, leasesEnd); err != nil {
 		f.t.Fatal(err)
 	}
 	f.engine.SetCatalog(f.catalog)
@@ -217,7 +226,7 @@
 	f.now = f.now.Add(fleetTick)
 	f.endRuns()
 	f.startDelayed()
-	for _, o := range f.engine.Orders(f.now, Permissions{Act: true, Start: !f.listIsStale, Sole: !f.otherOwnerPossible}) {
+	for _, o := range f.engine.Orders(f.now, Permissions{Act: true, Start: !f.listIsStale, Sole: !f.otherOwnerPossible, LeasesUntil: f.lastCommit.Add(testLeaseBound)}) {
 		f.deliver(o)
 	}
 	f.answerHolds()
@@ -449,6 +458,9 @@
 		b = f.engine.Batch(f.now)
 	}
 	if b == nil {
+		if !f.storeDown {
+			f.lastCommit = f.now
+		}
 		return
 	}
 	if f.holdCommits {
@@ -466,6 +478,7 @@
 		}
 		f.rows[w.Key] = w.Value
 	}
+	f.lastCommit = f.now
 	f.engine.Committed(f.now, b)
 }
 
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -55,6 +55,8 @@
 		deposed bool
 		// soleOwner is set while no other daemon can own the shard.
 		soleOwner bool
+		// leasesUntil bounds the leases that are granted in this pass.
+		leasesUntil time.Time
 
 		dirty      []*submission
 		dirtySince time.Time
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -36,6 +36,9 @@
 		// Start is set if the owner may also start runs, which requires a
 		// recent list of workers.
 		Start bool
+		// LeasesUntil is the time by which all leases that the owner grants now
+		// must have ended; the zero value means no limit.
+		LeasesUntil time.Time
 		// Sole is set if it is certain that no other daemon owns the shard.
 		// Otherwise another owner may have extended leases, so no lease counts
 		// as expired.
@@ -102,7 +105,7 @@
 			e.startDueOccurrences(now, s)
 		}
 	}
-	e.soleOwner = may.Sole
+	e.soleOwner, e.leasesUntil = may.Sole, may.LeasesUntil
 	for id, w := range e.workers {
 		w.bootConfirmed = w.known && (may.Sole || w.bootConfirmed)
 		e.checkLease(now, id, w, may.Sole)
@@ -158,6 +161,10 @@
 		return 0
 	}
 	end := w.clockNow(now) + min(leaseDuration, e.Limits.LeaseMax)
+	if !e.leasesUntil.IsZero() {
+		// By then the worker's clock has reached this time even if it is slow.
+		end = min(end, w.clock+time.Duration(float64(e.leasesUntil.Sub(w.clockAt))*(1-maxClockDrift)))
+	}
 	w.leaseEnd = max(w.leaseEnd, end.Truncate(time.Millisecond))
 	return w.leaseEnd
 }
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -398,9 +398,9 @@
 	return false
 }
 
-// Restore loads the rows of earlier owners into an empty engine. LastActive is
-// the latest time at which an earlier owner may have given an order.
-func (e *Engine) Restore(now time.Time, rows []guavascale.Row, lastActive time.Time) error {
+// Restore loads the rows of earlier owners into an empty engine. LeasesEnd is the time
+// at which all leases that these owners granted must have ended.
+func (e *Engine) Restore(now time.Time, rows []guavascale.Row, leasesEnd time.Time) error {
 	e.subs = make(map[string]*submission)
 	progress := make(map[string]progressRow)
 	var recorded missingRow
@@ -442,8 +442,7 @@
 			}
 		}
 	}
-	until := lastActive.Add(time.Duration(float64(e.Limits.LeaseMax)*(1+maxClockDrift)) + leaseExpiryMargin)
-	e.missing.restore(now, e.fleet, until, recorded, e.Token)
+	e.missing.restore(now, e.fleet, leasesEnd, recorded, e.Token)
 	for id, s := range e.subs {
 		e.restore(now, s, progress[id])
 	}
--- a/guavaqueue/takeover_test.go
+++ b/guavaqueue/takeover_test.go
@@ -257,3 +257,21 @@
 	assert.Equal(t, guavascale.SubmissionCompleted, stateOrUnknown(f.engine.State("a")))
 	assert.Equal(t, 1, f.starts)
 }
+
+// Guards against leases that outlast the time that the owner has promised in the head,
+// after which the next owner starts the tasks of unreachable workers again.
+func TestLeasesEndWithinTheBound(t *testing.T) {
+	f := newFleet(t, 2)
+	f.submit(serviceOf("a", 2))
+	f.advance(time.Second)
+	f.holdCommits = true
+	last := f.lastCommit
+	f.submit(batchOf("b", 1, 1, time.Second))
+	f.advance(4 * time.Second)
+	require.Equal(t, last, f.lastCommit, "the commit is in progress")
+	for _, w := range f.workers {
+		if len(w.runs) > 0 {
+			assert.LessOrEqual(t, w.leaseEnd-w.clock(f.now), last.Add(testLeaseBound).Sub(f.now))
+		}
+	}
+}
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -17,9 +17,9 @@
 	// maxClockLead bounds how fast a worker's clock may run: it gains at most
 	// one part in maxClockLead on the owner's.
 	maxClockLead = 1000
-	// leaseExpiryMargin must pass after the end of a lease before the lease
+	// LeaseExpiryMargin must pass after the end of a lease before the lease
 	// counts as expired.
-	leaseExpiryMargin = 250 * time.Millisecond
+	LeaseExpiryMargin = 250 * time.Millisecond
 	// clockJumpTolerance is how far a clock reading may lie outside the expected
 	// range before the worker counts as restarted.
 	clockJumpTolerance = 300 * time.Millisecond
@@ -37,6 +37,12 @@
 	retryDelay = 50 * time.Millisecond
 )
 
+// LongestLease returns how long a lease of the given duration on a worker's clock may
+// last.
+func LongestLease(onWorker time.Duration) time.Duration {
+	return time.Duration(float64(onWorker) * (1 + maxClockDrift))
+}
+
 // SetWorker adds or updates a worker from the platform's worker list.
 func (e *Engine) SetWorker(now time.Time, w guavascale.Worker) {
 	if e.workers == nil {
@@ -141,7 +147,7 @@
 		return false
 	}
 	atLeast := w.clock + time.Duration(float64(now.Sub(w.clockAt))*(1-maxClockDrift))
-	return atLeast > w.leaseEnd+leaseExpiryMargin
+	return atLeast > w.leaseEnd+LeaseExpiryMargin
 }
 
 // applyReport applies a worker's report, the response to a request that was sent
--- a/guavascheduler/commit.go
+++ b/guavascheduler/commit.go
@@ -47,10 +47,11 @@
 	}
 	successor, strongest := t.scheduler.successors.strongest(t.scheduler.Clock.Now())
 	t.chain.Strongest = max(strongest, t.scheduler.Strength)
+	t.promiseLeaseBound()
 	if !leave {
 		successor = ""
 	}
-	c := t.chain.Next(newID(), writes, leave, successor)
+	c, firstStart := t.chain.Next(newID(), writes, leave, successor), t.scheduler.Clock.Now()
 	results := make(chan commitResult, maxOpenAttempts)
 	// open counts the attempts without a result. mayHaveApplied is set if one has
 	// ended with an unknown outcome.
@@ -82,10 +83,14 @@
 		var conditionErr *guavascale.ConditionError
 		if errors.As(res.err, &conditionErr) {
 			applied, err := t.resolveCommit(ctx)
+			if err == nil && applied {
+				t.recordCommit(firstStart)
+			}
 			if err != nil || applied {
 				return err
 			}
-			c, mayHaveApplied = t.chain.Next(newID(), writes, leave, successor), false
+			c, firstStart = t.chain.Next(newID(), writes, leave, successor), t.scheduler.Clock.Now()
+			mayHaveApplied = false
 			continue
 		}
 		var unavailable *guavascale.UnavailableError
@@ -100,6 +105,15 @@
 
 var errNoResponse = errors.New("the store has not responded to a commit yet")
 
+// promiseLeaseBound adds the bound of leases to the head once the leases of all earlier
+// owners must have ended, which may be of a version without the bound.
+func (t *term) promiseLeaseBound() {
+	s := t.scheduler
+	if t.chain.LeaseBoundMs == 0 && s.Clock.Now().Sub(t.startedAt) > s.Limits.OwnerLease+guavaqueue.LongestLease(s.Limits.LeaseMax)+guavaqueue.LeaseExpiryMargin {
+		t.chain.LeaseBoundMs = leaseBound.Milliseconds()
+	}
+}
+
 // awaitResult waits for a result. It returns false if there is none after d.
 func awaitResult(ctx context.Context, results <-chan commitResult, d time.Duration) (commitResult, bool) {
 	timer := time.NewTimer(d)
--- a/guavascheduler/commit_test.go
+++ b/guavascheduler/commit_test.go
@@ -107,6 +107,25 @@
 	}
 }
 
+// Guards against an owner that counts a commit from the moment at which it learned of
+// its outcome. Another daemon may have seen the head since the commit was applied, and
+// may own the shard before this one stops acting.
+func TestCommitCountsFromItsFirstAttempt(t *testing.T) {
+	clock := &manualClock{}
+	clock.advance(time.Hour)
+	tm := newTerm(clock, &countingRunner{})
+	tm.chain = guavaowner.Chain{Head: guavaowner.Head{Epoch: 3, Owner: "a"}, Version: 5}
+	tm.scheduler.Table = &scriptedTable{
+		head: guavaowner.Head{Epoch: 3, Owner: "a", Number: 1}, headVersion: 9,
+		commits: []func(context.Context) (uint64, error){func(context.Context) (uint64, error) {
+			clock.advance(time.Second)
+			return 0, &guavascale.ConditionError{Key: guavaowner.HeadKey}
+		}},
+	}
+	require.NoError(t, tm.attemptCommit(t.Context(), nil, false))
+	assert.Equal(t, time.Second, tm.commitAge(clock.Now()))
+}
+
 // slowScanTable returns the rows of a scan only after a commit has been made.
 type slowScanTable struct {
 	guavascale.Table
--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -106,6 +106,10 @@
 	// staleCommitAge is the commit age above which the owner may be disconnected
 	// from the store. Heartbeats are committed every 500 ms.
 	staleCommitAge = 1200 * time.Millisecond
+	// leaseBound is how long after its last commit an owner lets leases end at the
+	// latest. Runs outlast a store outage of that length, and the tasks of lost
+	// workers start again that long after the owner was lost with them.
+	leaseBound = 9 * time.Second
 	// maxHoldCalls and maxOrderCalls limit the concurrent calls to workers. Each
 	// worker has a hold in progress at almost any time.
 	maxHoldCalls  = 4096
@@ -152,6 +156,7 @@
 	c := &guavaowner.Candidate{
 		Owner: s.Instance, Address: s.Address,
 		Delay: claimDelay(), FirstDelay: s.firstClaimDelay(), Strength: s.Strength, Spread: rand.Float64(),
+		LeaseBound: leaseBound,
 	}
 	refused := false
 	for ctx.Err() == nil && !s.leaving.Load() {
@@ -175,7 +180,7 @@
 			sleep(ctx, headReadInterval)
 			continue
 		}
-		s.runTerm(ctx, chain, c.LastActive(s.Clock.Now(), s.Limits.OwnerLease))
+		s.runTerm(ctx, chain, s.leasesEnd(c))
 		c.Reset()
 	}
 }
@@ -270,9 +275,14 @@
 	return s.Table.Commit(ctx, c)
 }
 
-// runTerm runs a term until it ends. lastActive is the latest time at which the
-// previous owner may have sent an order.
-func (s *Scheduler) runTerm(ctx context.Context, chain *guavaowner.Chain, lastActive time.Time) {
+// leasesEnd returns the time at which all leases of earlier owners must have ended.
+func (s *Scheduler) leasesEnd(c *guavaowner.Candidate) time.Time {
+	return c.LeasesEnd(s.Clock.Now(), s.Limits.OwnerLease, guavaqueue.LongestLease(s.Limits.LeaseMax)).Add(guavaqueue.LeaseExpiryMargin)
+}
+
+// runTerm runs a term until it ends. leasesEnd is the time at which all leases of
+// earlier owners must have ended.
+func (s *Scheduler) runTerm(ctx context.Context, chain *guavaowner.Chain, leasesEnd time.Time) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t := &term{
@@ -289,7 +299,7 @@
 	t.recordCommit(s.Clock.Now())
 	rows, err := t.loadRows(ctx)
 	if err == nil {
-		err = t.engine.Restore(s.Clock.Now(), rows, lastActive)
+		err = t.engine.Restore(s.Clock.Now(), rows, leasesEnd)
 	}
 	if err != nil {
 		log.Error().Err(err).Msg("scheduler: failed to load the rows of the shard; giving up the claim")
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -212,6 +212,7 @@
 	}
 	may := guavaqueue.Permissions{
 		Act: t.canIssueOrders(now) && !leaving, Start: t.canStartRuns(now), Sole: t.canServeReads(now),
+		LeasesUntil: time.Unix(0, t.lastCommit.Load()).Add(leaseBound),
 	}
 	for _, o := range t.engine.Orders(now, may) {
 		t.dispatch(ctx, o)
@@ -281,16 +282,12 @@
 // commit whose condition failed was applied.
 func (t *term) resolveCommit(ctx context.Context) (bool, error) {
 	for ctx.Err() == nil {
-		start := t.scheduler.Clock.Now()
 		h, version, err := t.scheduler.readHead(ctx, tableTimeout)
 		if err != nil {
 			sleep(ctx, commitRetryDelay)
 			continue
 		}
 		applied, err := t.chain.Resolve(h, version)
-		if err == nil {
-			t.recordCommit(start)
-		}
 		return applied, err
 	}
 	return false, ctx.Err()
