--- a/cmd/guavabench/main.go
+++ b/cmd/guavabench/main.go
@@ -9,9 +9,9 @@
 import "github.com/alecthomas/kong"
 
 type cli struct {
-	Changes        changesCmd        `cmd:"" help:"Measure how fast configuration changes take effect, with all daemons in one process."`
-	Recovery       recoveryCmd       `cmd:"" help:"Measure how the system recovers from failures, with all daemons in one process."`
-	Routing        routingCmd        `cmd:"" help:"Compare routing policies in a queueing model and measure the gateway's own cost."`
+	Changes  changesCmd  `cmd:"" help:"Measure how fast configuration changes take effect, with all daemons in one process."`
+	Recovery recoveryCmd `cmd:"" help:"Measure how the system recovers from failures, with all daemons in one process."`
+	Routing  routingCmd  `cmd:"" help:"Compare routing policies in a queueing model and measure the gateway's own cost."`
 
 	Interference interferenceCmd `cmd:"" help:"Compare interference mitigation policies in virtual time."`
 	Placement    placementCmd    `cmd:"" help:"Compare placement with simple policies and measure the cost of a decision."`
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -72,12 +72,12 @@
 	resendAfter = 300 * time.Millisecond
 	// holdWait is how long a worker with runs may delay its report,
 	// holdWaitIdle applies to one without runs, holdWaitDisturbed to one with a
-	// service that misses its target beside fillers. holdWaitMin applies while a
+	// service that misses its target beside fillers. holdWaitOverdue applies while a
 	// run is overdue; endMargin is added to the time at which a run should end.
 	holdWait          = 1000 * time.Millisecond
 	holdWaitIdle      = 2000 * time.Millisecond
 	holdWaitDisturbed = 500 * time.Millisecond
-	holdWaitMin       = 300 * time.Millisecond
+	holdWaitOverdue   = 300 * time.Millisecond
 	endMargin         = 200 * time.Millisecond
 	// holdTimeoutMargin is added to the wait for the timeout of the call.
 	holdTimeoutMargin = 1000 * time.Millisecond
--- a/guavaqueue/stragglers.go
+++ b/guavaqueue/stragglers.go
@@ -101,7 +101,7 @@
 }
 
 // untilNextEnd returns how long it takes until the first run of the worker should
-// have ended, with some margin, within holdWaitMin and holdWait. If none has, the
+// have ended, with some margin, within holdWaitOverdue and holdWait. If none has, the
 // report shows which run has stalled.
 func (w *worker) untilNextEnd(now time.Time) time.Duration {
 	wait := holdWait
@@ -110,7 +110,7 @@
 			wait = min(wait, r.remaining(now)+endMargin)
 		}
 	}
-	return max(wait, holdWaitMin)
+	return max(wait, holdWaitOverdue)
 }
 
 // replaceStraggler starts a copy of a straggler on another worker, or stops the
