guavaqueue: a new owner asks 128 workers at a time

The new owner sends a thousand holds of a second at once; from the code, those that wait for the processor for a second are dropped or time out, and are sent again. Change: at most 128 holds to workers that have not answered yet. TestNewOwnerAsksWorkersInTurn failed before (384 holds at once).

--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -55,6 +55,8 @@
 		deposed bool
 		// soleOwner is set while no other daemon can own the shard.
 		soleOwner bool
+		// firstHolds counts the holds in progress to workers that are not known.
+		firstHolds int
 		// leasesUntil bounds the leases that are granted in this pass.
 		leasesUntil time.Time
 
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -85,6 +85,10 @@
 	// ends wait to become durable, and, times the number of failed holds up to 4, between
 	// holds of a worker that doesn't answer.
 	minHoldInterval = 250 * time.Millisecond
+	// maxFirstHolds bounds the holds in progress to workers that have not answered
+	// this owner yet. A weak host that asks a thousand workers at once answers
+	// none of the calls in time.
+	maxFirstHolds = 128
 	// maxPendingStarts bounds the number of unanswered starts per worker.
 	maxPendingStarts = 16
 	// noRoomBackoff is how long a worker that had no room gets no starts.
@@ -106,8 +110,12 @@
 		}
 	}
 	e.soleOwner, e.leasesUntil = may.Sole, may.LeasesUntil
+	e.firstHolds = 0
 	for id, w := range e.workers {
 		w.bootConfirmed = w.known && (may.Sole || w.bootConfirmed)
+		if w.holdPending && !w.known {
+			e.firstHolds++
+		}
 		e.checkLease(now, id, w, may.Sole)
 	}
 	if may.Sole && e.missing.expire(now) {
@@ -185,6 +193,12 @@
 		// pending.
 		return
 	}
+	if !w.known {
+		if e.firstHolds >= maxFirstHolds {
+			return
+		}
+		e.firstHolds++
+	}
 	wait := w.untilNextEnd(now)
 	switch {
 	case !w.known || waiting || w.failedHolds > 0:
--- a/guavaqueue/takeover_test.go
+++ b/guavaqueue/takeover_test.go
@@ -275,3 +275,21 @@
 		}
 	}
 }
+
+// Guards against a new owner that asks all workers at once: with a thousand workers and
+// 0.16 cores, its calls timed out before it could handle the answers, and it was not
+// serving for nine seconds.
+func TestNewOwnerAsksWorkersInTurn(t *testing.T) {
+	f := newFleet(t, 3*maxFirstHolds)
+	may := Permissions{Act: true, Start: true, Sole: true}
+	f.now = f.now.Add(fleetTick)
+	orders := f.engine.Orders(f.now, may)
+	assert.Len(t, orders, maxFirstHolds)
+	assert.Empty(t, f.engine.Orders(f.now.Add(fleetTick), may), "no answer yet")
+	for _, o := range orders {
+		f.deliver(o)
+	}
+	f.answerHolds()
+	f.advance(time.Second)
+	assert.Equal(t, len(f.workers), f.engine.Stats(f.now).Known)
+}
