--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -8,6 +8,11 @@
 // what the engine returns: orders to workers (Orders) and rows to commit (Batch).
 // An Engine must be used by one goroutine at a time.
 //
+// In each scheduling pass the owner states what it may do (Permissions): an owner
+// that has fallen behind, or whose commits fail, may do less. No lease ends later
+// than a fixed time after the owner's last commit, which tells the next owner how long
+// it has to wait for workers that it can't reach.
+//
 // The workers are the source of truth for what they run; starts are not stored.
 // Each order carries the owner's fencing token. A new owner has a higher token
 // and starts nothing on a worker before that worker has answered under the new
--- a/guavaqueue/rows_test.go
+++ b/guavaqueue/rows_test.go
@@ -85,3 +85,19 @@
 		}
 	}
 }
+
+// Guards against a progress row that the store refuses because the checkpoints of
+// many tasks make it too large.
+func TestProgressRowIsBounded(t *testing.T) {
+	f := newFleet(t, 1)
+	f.submit(batchOf("a", 1, maxTasks, time.Second))
+	f.advance(100 * time.Millisecond)
+	s := f.engine.subs["a"]
+	for _, tk := range s.steps[0].tasks {
+		tk.checkpoint = "00000bb87a21d94b"
+	}
+	b := &Batch{}
+	s.write(b)
+	require.Len(t, b.Writes, 1)
+	assert.LessOrEqual(t, len(b.Writes[0].Value), maxRowBytes)
+}
--- a/guavascheduler/commit.go
+++ b/guavascheduler/commit.go
@@ -36,6 +36,8 @@
 	maxOpenAttempts = 2
 )
 
+var errNoResponse = errors.New("the store has not responded to a commit yet")
+
 // attemptCommit makes a commit. It repeats an attempt without a response but still
 // waits for the response, since the store may only be slow. All attempts have the
 // same condition, so at most one is applied. It returns an UnavailableError only if
@@ -103,8 +105,6 @@
 	}
 }
 
-var errNoResponse = errors.New("the store has not responded to a commit yet")
-
 // promiseLeaseBound adds the bound of leases to the head once the leases of all earlier
 // owners must have ended, which may be of a version without the bound.
 func (t *term) promiseLeaseBound() {
