guavascheduler: log the owner's delays and processor time

The owner's summary now has the processor time used, the number of orders by kind, the longest wait of an order before it was sent, of an outcome before the engine was told of it, and the time spent in steps; the waits are histograms in the metrics too.

--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -56,6 +56,7 @@
 	nextCommit time.Time
 	// outage is accessed by the commit in progress only.
 	outage outageLog
+	load   ownerLoad
 	err    error
 }
 
@@ -181,7 +182,9 @@
 		case <-timer.C:
 			t.drain()
 		}
-		t.step(ctx)
+		start := t.scheduler.Clock.Now()
+		t.step(ctx, start)
+		t.load.recordStep(t.scheduler.Clock.Now().Sub(start))
 	}
 	return t.err
 }
@@ -199,15 +202,14 @@
 }
 
 // step sends the orders that are due and starts the next commit.
-func (t *term) step(ctx context.Context) {
-	now := t.scheduler.Clock.Now()
+func (t *term) step(ctx context.Context, now time.Time) {
 	leaving := t.scheduler.leaving.Load() || t.shouldYield(now)
 	t.engine.Expire(now)
 	if now.Sub(t.lastSummary) >= summaryInterval {
 		t.lastSummary = now
 		stats := t.engine.Stats(now)
 		t.scheduler.meters.stats(stats)
-		t.scheduler.Log.Info().Interface("Stats", stats).Dur("CommitAgeMs", t.commitAge(now)).
+		t.load.write(now, t.scheduler.Log.Info()).Interface("Stats", stats).Dur("CommitAgeMs", t.commitAge(now)).
 			Strs("Apart", t.engine.Apart()).Msg("scheduler: state of the shard")
 	}
 	may := guavaqueue.Permissions{
@@ -341,8 +343,8 @@
 		pool = t.holdPool
 	}
 	err := pool.Submit(func() {
-		out := t.send(ctx, o)
-		t.post(func() { t.engine.Answer(t.scheduler.Clock.Now(), o, out) })
+		out, at := t.send(ctx, o)
+		t.post(func() { t.answer(o, out, at) })
 	})
 	if err != nil {
 		// All calls of the pool are in progress.
@@ -350,17 +352,30 @@
 	}
 }
 
-// send sends an order, unless it is too late for it.
-func (t *term) send(ctx context.Context, o guavaqueue.Order) guavaqueue.Outcome {
+// answer passes the outcome of an order, known at a given time, to the engine.
+func (t *term) answer(o guavaqueue.Order, out guavaqueue.Outcome, at time.Time) {
+	now := t.scheduler.Clock.Now()
+	t.load.answerDelay.record(now.Sub(at))
+	t.scheduler.meters.recordDuration("owner.answer-delay", now.Sub(at))
+	t.engine.Answer(now, o, out)
+}
+
+// send sends an order, unless it is too late for it, and returns its outcome and the
+// time of it.
+func (t *term) send(ctx context.Context, o guavaqueue.Order) (guavaqueue.Outcome, time.Time) {
 	out := guavaqueue.Outcome{Err: errOrderTooLate, NotSent: true}
 	now := t.scheduler.Clock.Now()
+	t.load.orders[o.Kind].Add(1)
+	t.load.orderDelay.record(now.Sub(o.Sent))
+	t.scheduler.meters.recordDuration("owner.order-delay", now.Sub(o.Sent))
 	if ctx.Err() == nil && t.mayStillSend(now, o) {
 		callCtx, cancel := context.WithTimeout(ctx, o.Timeout)
 		defer cancel()
 		out = t.execute(callCtx, o)
 	}
-	t.scheduler.meters.order(o, out, t.scheduler.Clock.Now().Sub(now))
-	return out
+	end := t.scheduler.Clock.Now()
+	t.scheduler.meters.order(o, out, end.Sub(now))
+	return out, end
 }
 
 // execute sends an order to its worker.
