platform, guavascheduler: heartbeats of workers no longer reprocess the whole list

Cause: every worker writes its entry each 1.5 s. The watcher decoded all entries of the list after each read that had a change, and the owner applied all of them: at 1,100 workers 45 times a second, 50,000 entries. The loop runs as fast as the processor allows, so it took whatever the owner's orders left, and competed with them. Class of fault: work per event that grows with the size of the fleet instead of with the change.

A worker that is not in the durable fleet marks it for writing when a report shows that it may hold runs, which so far the repeated list did.

Evidence: TestHeartbeatsDoNotChangeTheWorkerList; adapted to the old interface it fails on (the list of one worker is passed on again after a heartbeat).

--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -73,6 +73,14 @@
 	return !w.Leaving || len(w.runs) > 0 || w.seen > w.acked
 }
 
+// RemoveWorker marks a worker that is no longer in the platform's worker list. Its runs
+// count until their leases must have expired.
+func (e *Engine) RemoveWorker(id guavascale.WorkerID) {
+	if w := e.workers[id]; w != nil {
+		w.listed = false
+	}
+}
+
 // RemoveUnlisted marks all workers that are not in listed, the platform's worker
 // list. Their runs count until their leases must have expired.
 func (e *Engine) RemoveUnlisted(listed map[guavascale.WorkerID]bool) {
@@ -195,6 +203,9 @@
 		}
 	}
 	e.observe(now, w)
+	if w.listed && !w.durable && w.mayHoldRuns() {
+		e.fleetDirty = true
+	}
 	if !w.known {
 		// An earlier owner, or this one before the worker restarted, may have
 		// granted a lease of up to LeaseMax.
--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -32,11 +32,10 @@
 
 type (
 	// WorkerSource provides the list of workers. Until ctx is done, WatchWorkers
-	// calls set with the whole list after each change, and unchanged when the list
-	// was read and had no change. AsOf is a time of the scheduler's clock at which
-	// the list was complete.
+	// calls set with the whole list and then, after each read, with what has changed,
+	// if anything. Times are of the scheduler's clock.
 	WorkerSource interface {
-		WatchWorkers(ctx context.Context, set func(list []guavascale.Worker, asOf time.Time), unchanged func(asOf time.Time))
+		WatchWorkers(ctx context.Context, set func(guavascale.WorkerChanges))
 	}
 
 	// Scheduler schedules submissions in one daemon. The exported fields must
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -317,22 +317,27 @@
 // watchWorkers follows the list of workers. The time as of which the list is known
 // passes through the event queue, so that it includes the queue's delay.
 func (t *term) watchWorkers(ctx context.Context) {
-	t.scheduler.Workers.WatchWorkers(
-		ctx, func(list []guavascale.Worker, asOf time.Time) { t.post(func() { t.setWorkers(list, asOf) }) },
-		func(asOf time.Time) { t.post(func() { t.listAsOf.Store(asOf.UnixNano()) }) },
-	)
+	t.scheduler.Workers.WatchWorkers(ctx, func(c guavascale.WorkerChanges) { t.post(func() { t.changeWorkers(&c) }) })
 }
 
-// setWorkers passes the list of workers as of a given time to the engine.
-func (t *term) setWorkers(list []guavascale.Worker, asOf time.Time) {
+// changeWorkers passes changes of the list of workers to the engine.
+func (t *term) changeWorkers(c *guavascale.WorkerChanges) {
 	now := t.scheduler.Clock.Now()
-	t.listAsOf.Store(asOf.UnixNano())
-	listed := make(map[guavascale.WorkerID]bool, len(list))
-	for _, w := range list {
-		listed[w.ID] = true
+	t.listAsOf.Store(c.AsOf.UnixNano())
+	t.load.listed.Add(int64(len(c.Set)))
+	for _, w := range c.Set {
 		t.engine.SetWorker(now, w)
 	}
-	t.engine.RemoveUnlisted(listed)
+	for _, id := range c.Removed {
+		t.engine.RemoveWorker(id)
+	}
+	if c.Full {
+		listed := make(map[guavascale.WorkerID]bool, len(c.Set))
+		for _, w := range c.Set {
+			listed[w.ID] = true
+		}
+		t.engine.RemoveUnlisted(listed)
+	}
 }
 
 // dispatch executes an order in the background and passes the outcome to the
--- a/worker.go
+++ b/worker.go
@@ -67,6 +67,18 @@
 		ReportAgeMs int64
 	}
 
+	// WorkerChanges describes how the list of workers has changed.
+	WorkerChanges struct {
+		// AsOf is a time at which no change was missing.
+		AsOf time.Time
+		// Full is set if Set contains all workers in the list.
+		Full bool
+		// Set contains the workers that are new or have changed.
+		Set []Worker
+		// Removed contains the workers that are no longer in the list.
+		Removed []WorkerID
+	}
+
 	// Work lists the tasks, jobs and workers that shard owners report.
 	Work struct {
 		Tasks   []Task
