guavascheduler: steps of a large fleet leave processor time to the messages

Cause: a step looks at every worker.

The next step now waits at least four times as long as the one before took, up to 40 ms. Small fleets wait 4 ms as before.

TestBatchDelay covers the bounds.

--- a/guavascheduler/ownerload.go
+++ b/guavascheduler/ownerload.go
@@ -62,7 +62,7 @@
 	used := processorTime()
 	period := now.Sub(l.writtenAt)
 	if !l.writtenAt.IsZero() && period > 0 {
-		line.Float64("Cores", (used - l.processor).Seconds()/period.Seconds())
+		line.Float64("Cores", (used-l.processor).Seconds()/period.Seconds())
 	}
 	l.writtenAt, l.processor = now, used
 	for kind := range l.orders {
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -65,9 +65,13 @@
 	eventQueueSize = 4096
 	// maxEventBatch limits the events processed between two scheduling steps.
 	maxEventBatch = 256
-	// eventBatchDelay is how long a scheduling step is delayed after an event so
-	// that more events can be processed with it.
-	eventBatchDelay = 4 * time.Millisecond
+	// minBatchDelay is how long a scheduling step is delayed after an event so that
+	// more events can be processed with it. The delay is at least batchDelayFactor
+	// times the duration of the step before, up to maxBatchDelay: a step looks at all
+	// workers, and steps must not take most of the processor time of a large fleet.
+	minBatchDelay    = 4 * time.Millisecond
+	batchDelayFactor = 4
+	maxBatchDelay    = 40 * time.Millisecond
 	// stepInterval is the maximum time between two scheduling steps.
 	stepInterval = 25 * time.Millisecond
 	// readLease is the maximum commit age at which the owner answers reads from
@@ -170,6 +174,7 @@
 	t.updateCatalog()
 	timer := time.NewTicker(stepInterval)
 	defer timer.Stop()
+	lastStep := time.Duration(0)
 	for t.err == nil {
 		select {
 		case <-ctx.Done():
@@ -177,18 +182,24 @@
 		case f := <-t.events:
 			f()
 			// Process events that arrive together in a single step.
-			sleep(ctx, eventBatchDelay)
+			sleep(ctx, batchDelay(lastStep))
 			t.drain()
 		case <-timer.C:
 			t.drain()
 		}
 		start := t.scheduler.Clock.Now()
 		t.step(ctx, start)
-		t.load.recordStep(t.scheduler.Clock.Now().Sub(start))
+		lastStep = t.scheduler.Clock.Now().Sub(start)
+		t.load.recordStep(lastStep)
 	}
 	return t.err
 }
 
+// batchDelay returns how long the next step is delayed after an event.
+func batchDelay(lastStep time.Duration) time.Duration {
+	return min(max(batchDelayFactor*lastStep, minBatchDelay), maxBatchDelay)
+}
+
 // drain executes queued events, up to maxEventBatch.
 func (t *term) drain() {
 	for range maxEventBatch {
--- a/guavascheduler/term_test.go
+++ b/guavascheduler/term_test.go
@@ -208,3 +208,17 @@
 	var rejected *guavascale.RejectedError
 	require.ErrorAs(t, err, &rejected)
 }
+
+// Guards against steps that take most of the processor time of an owner whose fleet is
+// large.
+func TestBatchDelay(t *testing.T) {
+	cases := map[string]struct{ lastStep, want time.Duration }{
+		"first":  {0, minBatchDelay},
+		"short":  {500 * time.Microsecond, minBatchDelay},
+		"long":   {3 * time.Millisecond, 12 * time.Millisecond},
+		"paused": {5 * time.Second, maxBatchDelay},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, tc.want, batchDelay(tc.lastStep)) })
+	}
+}
