guavarelay, guavascheduler: other daemons make the owner's calls to workers

Cause: one daemon makes every call of the fleet, about 4,500 holds and starts a second, each with its own system calls, wake-ups and JSON, while 146 hosts are idle. Class of fault: work of one process that grows with the fleet.

An owner whose fleet is larger than its processor carries (600 workers a core) invites other daemons in its replies to their pings. They open a stream, get orders in batches and return outcomes in batches. Each zone's workers are called by hosts of the zone, the strongest first, 128 workers each at most.

- an order has a time by which it must be sent, measured by the relay's clock from the latest reading that the owner echoes, so neither a suspended relay nor a suspended owner sends what is out of date;
- a relay's host may be in touch with the platform while the owner's is not, so relays start runs only while no other daemon can own the shard and the list of workers is recent; in doubt the owner sends starts itself, as before;
- a lost relay leaves its starts and stops unknown, as a lost answer does, and its holds are repeated at once; a worker that does not answer its relay is called by the owner, and a relay whose workers answer only the owner is excluded for 30 s.

Old daemons are never invited and never invite. Sites whose owner carries the fleet (the two small ones) have no relays.

--- a/cmd/guavascaled/queue.go
+++ b/cmd/guavascaled/queue.go
@@ -112,6 +112,7 @@
 	scheduler := &guavascheduler.Scheduler{
 		Instance: s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36),
 		Address:  s.Peer.Listen,
+		Zone:     s.Zone,
 		Table:    store,
 		Runner:   &guavaplatform.Workers{},
 		Workers:  &guavaplatform.Watcher{Store: store, Log: log, Clock: clock},
--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -45,6 +45,7 @@
 		// address at which peers reach it.
 		Instance string
 		Address  string
+		Zone     guavascale.Zone
 		Table    guavascale.Table
 		Runner   guavascale.Runner
 		Workers  WorkerSource
@@ -75,6 +76,8 @@
 		// in Unix nanoseconds of Clock, or 0 if it never was.
 		ownerLostAt atomic.Int64
 		leaving     atomic.Bool
+		// relay is the work of this daemon for an owner, or nil.
+		relay atomic.Pointer[relaySession]
 		// stopped is closed when the daemon does not own the shard and will not
 		// claim it any more.
 		stopped chan struct{}
@@ -142,6 +145,9 @@
 // released or ctx is done. The daemon does not claim the shard again.
 func (s *Scheduler) Leave(ctx context.Context) {
 	s.leaving.Store(true)
+	if session := s.relay.Load(); session != nil {
+		session.relay.Leave()
+	}
 	select {
 	case <-s.stopped:
 	case <-ctx.Done():
@@ -160,8 +166,9 @@
 	refused := false
 	for ctx.Err() == nil && !s.leaving.Load() {
 		if addr := s.ownerAddr.Load(); addr != nil && *addr != s.Address {
-			err := s.checkOwner(ctx, c, *addr)
+			invited, err := s.checkOwner(ctx, c, *addr)
 			if err == nil {
+				s.updateRelay(ctx, *addr, invited)
 				c.Reset()
 				refused = false
 				sleep(ctx, pingInterval)
@@ -185,15 +192,23 @@
 }
 
 // checkOwner pings the owner. If the response is late, it also reads the head row,
-// so that the time for which the head is unchanged counts from then.
-func (s *Scheduler) checkOwner(ctx context.Context, c *guavaowner.Candidate, addr string) error {
-	answer := make(chan error, 1)
-	go func() { answer <- s.peers.ping(ctx, addr, s.pingIn()) }()
+// so that the time for which the head is unchanged counts from then. It returns
+// whether the owner wants this daemon as a relay.
+func (s *Scheduler) checkOwner(ctx context.Context, c *guavaowner.Candidate, addr string) (bool, error) {
+	type result struct {
+		invited bool
+		err     error
+	}
+	answer := make(chan result, 1)
+	go func() {
+		invited, err := s.peers.ping(ctx, addr, s.pingIn())
+		answer <- result{invited, err}
+	}()
 	late := time.NewTimer(latePingDelay)
 	defer late.Stop()
 	select {
-	case err := <-answer:
-		return err
+	case res := <-answer:
+		return res.invited, res.err
 	case <-late.C:
 	}
 	// Ignore a failed read: tryClaim reads the head again if the ping fails.
@@ -201,7 +216,8 @@
 	if err == nil {
 		c.Record(s.Clock.Now(), h, version)
 	}
-	return <-answer
+	res := <-answer
+	return res.invited, res.err
 }
 
 // tryClaim reads the head row and claims the shard if it is free. It returns nil
@@ -221,7 +237,10 @@
 	}
 	claim := c.Observe(s.Clock.Now(), h, version, refused)
 	if claim == nil {
-		if !h.Left && h.Address != "" && h.Address != s.Address && s.peers.ping(ctx, h.Address, s.pingIn()) == nil {
+		if h.Left || h.Address == "" || h.Address == s.Address {
+			return nil
+		}
+		if _, err := s.peers.ping(ctx, h.Address, s.pingIn()); err == nil {
 			s.ownerAddr.Store(&h.Address)
 			s.Log.Info().Str("Owner", h.Owner).Uint64("Epoch", h.Epoch).Msg("scheduler: found the owner")
 		}
@@ -266,7 +285,9 @@
 	return time.Duration(share*float64(maxClaimDelay)) + claimDelay()
 }
 
-func (s *Scheduler) pingIn() pingIn { return pingIn{Instance: s.Instance, Strength: s.Strength} }
+func (s *Scheduler) pingIn() pingIn {
+	return pingIn{Instance: s.Instance, Strength: s.Strength, Zone: s.Zone, CanRelay: !s.leaving.Load()}
+}
 
 func (s *Scheduler) commit(ctx context.Context, c guavascale.Commit, timeout time.Duration) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -292,8 +313,11 @@
 		done:      make(chan struct{}),
 		startedAt: s.Clock.Now(),
 	}
+	t.hub = t.newHub()
 	t.openPools()
 	defer t.closePools()
+	defer t.hub.Close()
+	s.updateRelay(ctx, s.Address, false)
 	log := s.Log.With().Uint64("Epoch", chain.Epoch).Logger()
 	t.recordCommit(s.Clock.Now())
 	rows, err := t.loadRows(ctx)
--- a/guavascheduler/peer.go
+++ b/guavascheduler/peer.go
@@ -1,6 +1,7 @@
 package guavascheduler
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavapeer"
+	"guavascale.example/guavarelay"
 )
 
 type (
@@ -23,6 +25,12 @@
 	// reply.
 	service struct{ s *Scheduler }
 
+	// peerConn is a connection whose first bytes have been buffered.
+	peerConn struct {
+		r *bufio.Reader
+		net.Conn
+	}
+
 	// method is the name of a call between daemons.
 	method string
 
@@ -44,6 +52,9 @@
 	pingIn struct {
 		Instance string
 		Strength float64
+		Zone     guavascale.Zone
+		// CanRelay is set if the daemon can make calls to workers for the owner.
+		CanRelay bool
 	}
 
 	idIn struct {
@@ -58,6 +69,9 @@
 		RetryAfter time.Duration
 		State      guavascale.SubmissionState
 		Pending    int
+		// Relay is set in the reply to a ping if the owner wants the daemon as a
+		// relay.
+		Relay bool
 	}
 
 	peerClient struct {
@@ -146,7 +160,7 @@
 		conns[c] = struct{}{}
 		mu.Unlock()
 		go func() {
-			r.ServeConn(c)
+			s.servePeer(r, c)
 			mu.Lock()
 			delete(conns, c)
 			mu.Unlock()
@@ -155,6 +169,22 @@
 	}
 }
 
+// servePeer serves one connection: calls, or the stream of a relay. It returns when a
+// relay has joined, whose connection the term closes.
+func (s *Scheduler) servePeer(r *rpc.Server, c net.Conn) {
+	br := bufio.NewReader(c)
+	first, err := br.Peek(len(guavarelay.Preamble))
+	if err != nil || string(first) != guavarelay.Preamble {
+		r.ServeConn(peerConn{br, c})
+		return
+	}
+	_, _ = br.Discard(len(guavarelay.Preamble))
+	s.serveRelay(c, br)
+}
+
+// Read reads from the buffer in front of the connection.
+func (c peerConn) Read(p []byte) (int, error) { return c.r.Read(p) }
+
 // Call handles a call from a peer.
 func (v service) Call(in []byte, out *[]byte) (err error) {
 	defer func() {
@@ -185,7 +215,7 @@
 			return reply{}, err
 		}
 		s.successors.record(s.Clock.Now(), in)
-		return s.pingReply(), nil
+		return s.pingReply(in.Instance), nil
 	case methodSubmit:
 		var in submitIn
 		err := cbor.Unmarshal(env.Body, &in)
@@ -213,13 +243,13 @@
 // pingReply returns the response to a ping. An owner whose commits fail reports
 // that it does not own the shard, so that another daemon can claim it. An owner
 // whose commit merely takes long reports verdictSlow.
-func (s *Scheduler) pingReply() reply {
+func (s *Scheduler) pingReply(instance string) reply {
 	t := s.term.Load()
 	switch {
 	case t == nil || s.leaving.Load():
 		return reply{}
 	case t.commitAge(s.Clock.Now()) <= staleCommitAge:
-		return reply{Verdict: verdictDone}
+		return reply{Verdict: verdictDone, Relay: t.invites(instance)}
 	case t.failures.Load() >= outageThreshold:
 		return reply{}
 	default:
@@ -227,22 +257,23 @@
 	}
 }
 
-func (p *peerClient) ping(ctx context.Context, addr string, in pingIn) error {
+// ping returns whether the owner wants this daemon as a relay.
+func (p *peerClient) ping(ctx context.Context, addr string, in pingIn) (invited bool, err error) {
 	out, err := p.call(ctx, addr, methodPing, pingTimeout, in)
 	if err != nil {
 		// A ping without a response means that the connection or the peer is not
 		// responding. Other calls may time out because their callers stop
 		// waiting, so they don't drop the connection.
 		p.pool.Drop(addr)
-		return err
+		return false, err
 	}
 	switch out.Verdict {
 	case verdictDone:
-		return nil
+		return out.Relay, nil
 	case verdictSlow:
-		return errOwnerSlow
+		return false, errOwnerSlow
 	default:
-		return &notOwnerError{Address: addr}
+		return false, &notOwnerError{Address: addr}
 	}
 }
 
--- /dev/null
+++ b/guavascheduler/relay.go
@@ -0,0 +1,128 @@
+package guavascheduler
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"guavascale.example/guavaqueue"
+	"guavascale.example/guavarelay"
+)
+
+// relaySession is a stream on which this daemon makes calls for an owner.
+type relaySession struct {
+	relay  *guavarelay.Relay
+	owner  string
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// inviteInterval is the time between choices of the daemons that should be relays.
+const inviteInterval = time.Second
+
+func (t *term) newHub() guavarelay.Hub {
+	return guavarelay.Hub{
+		Token: t.engine.Token, Clock: t.scheduler.Clock, Log: t.scheduler.Log, Post: t.post,
+		Answer: func(o guavaqueue.Order, out guavaqueue.Outcome, at time.Time) {
+			t.scheduler.meters.order(o, out, at.Sub(o.Sent))
+			t.answer(o, out, at)
+		},
+	}
+}
+
+// relayUntil returns the time by which a relay must have sent an order. The host of a
+// relay may be in touch with the platform while the owner's is not, so a relay starts
+// runs only while no other daemon can own the shard and the list of workers is recent.
+func (t *term) relayUntil(o *guavaqueue.Order) time.Time {
+	until := o.Sent.Add(maxOrderAge)
+	committed := time.Unix(0, t.lastCommit.Load())
+	if o.Kind != guavaqueue.OrderStart {
+		return earlier(until, committed.Add(t.scheduler.Limits.OwnerLease))
+	}
+	until = earlier(until, committed.Add(readLease))
+	if maxAge := t.scheduler.MaxListAge; maxAge > 0 {
+		until = earlier(until, time.Unix(0, t.listAsOf.Load()).Add(maxAge))
+	}
+	return until
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// inviteRelays chooses the daemons that should be relays. They learn of it when they
+// ping the owner.
+func (t *term) inviteRelays(now time.Time) {
+	if now.Sub(t.invitedAt) < inviteInterval {
+		return
+	}
+	t.invitedAt = now
+	workers := t.hub.WorkersByZone()
+	total := 0
+	for _, n := range workers {
+		total += n
+	}
+	if guavarelay.CanCallDirectly(t.scheduler.Strength, total) {
+		t.invited.Store(nil)
+		return
+	}
+	candidates := slices.DeleteFunc(t.scheduler.successors.relayCandidates(now), func(c guavarelay.Candidate) bool { return !t.hub.MayJoin(c.Instance) })
+	chosen := guavarelay.Choose(workers, candidates, t.hub.Connected())
+	t.invited.Store(&chosen)
+}
+
+// invites reports whether the owner wants a daemon as a relay.
+func (t *term) invites(instance string) bool {
+	invited := t.invited.Load()
+	return invited != nil && (*invited)[instance]
+}
+
+// serveRelay passes a relay that has connected to the term of this daemon.
+func (s *Scheduler) serveRelay(conn net.Conn, r *bufio.Reader) {
+	stream, err := guavarelay.ReadHello(conn, r)
+	if err != nil {
+		s.Log.Warn().Err(err).Msg("scheduler: rejected a relay")
+	}
+	t := s.term.Load()
+	if err != nil || t == nil || !t.post(func() { t.hub.Join(conn, stream) }) {
+		_ = conn.Close()
+	}
+}
+
+// updateRelay makes this daemon a relay of the owner at an address if it is invited,
+// and ends its work for any other owner.
+func (s *Scheduler) updateRelay(ctx context.Context, owner string, invited bool) {
+	if old := s.relay.Load(); old != nil {
+		select {
+		case <-old.done:
+		default:
+			if old.owner == owner {
+				return
+			}
+			old.cancel()
+		}
+		s.relay.Store(nil)
+	}
+	if !invited || s.leaving.Load() {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	session := &relaySession{owner: owner, cancel: cancel, done: make(chan struct{}), relay: &guavarelay.Relay{
+		Instance: s.Instance, Zone: s.Zone, Strength: s.Strength, Runner: s.Runner, Clock: s.Clock, Log: s.Log,
+	}}
+	s.relay.Store(session)
+	go func() {
+		defer close(session.done)
+		defer cancel()
+		err := session.relay.Run(ctx, owner)
+		if err != nil && !errors.Is(err, context.Canceled) {
+			s.Log.Info().Str("Owner", owner).Err(err).Msg("scheduler: no longer a relay of the owner")
+		}
+	}()
+}
--- a/guavascheduler/successors.go
+++ b/guavascheduler/successors.go
@@ -3,6 +3,9 @@
 import (
 	"sync"
 	"time"
+
+	"guavascale.example"
+	"guavascale.example/guavarelay"
 )
 
 // successorTracker records which daemons have pinged the owner recently, so
@@ -15,7 +18,9 @@
 
 type successor struct {
 	at       time.Time
+	zone     guavascale.Zone
 	strength float64
+	canRelay bool
 }
 
 // maxSuccessorAge is the age at which a ping no longer counts. Daemons ping
@@ -33,7 +38,7 @@
 			delete(st.seen, instance)
 		}
 	}
-	st.seen[in.Instance] = successor{now, in.Strength}
+	st.seen[in.Instance] = successor{at: now, zone: in.Zone, strength: in.Strength, canRelay: in.CanRelay}
 }
 
 // strongest returns the instance and strength of the strongest daemon that has
@@ -53,3 +58,16 @@
 	}
 	return best, st.seen[best].strength
 }
+
+// relayCandidates returns the daemons that have pinged recently and can be relays.
+func (st *successorTracker) relayCandidates(now time.Time) []guavarelay.Candidate {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var candidates []guavarelay.Candidate
+	for instance, o := range st.seen {
+		if o.canRelay && now.Sub(o.at) <= maxSuccessorAge {
+			candidates = append(candidates, guavarelay.Candidate{Instance: instance, Zone: o.zone, Strength: o.strength})
+		}
+	}
+	return candidates
+}
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -15,6 +15,7 @@
 	"guavascale.example"
 	"guavascale.example/guavaowner"
 	"guavascale.example/guavaqueue"
+	"guavascale.example/guavarelay"
 )
 
 // term is one daemon's ownership of the shard under one epoch. Unless noted
@@ -32,6 +33,13 @@
 	// reused, since each new one would have to grow its stack.
 	holdPool *ants.Pool
 	callPool *ants.Pool
+	// hub passes orders to other daemons, unless the owner can make all calls
+	// itself.
+	hub guavarelay.Hub
+	// invited is the set of daemons that the owner wants as relays. Any goroutine
+	// may read it.
+	invited   atomic.Pointer[map[string]bool]
+	invitedAt time.Time
 	// lastCommit is the start time of the last applied commit, in Unix
 	// nanoseconds of the scheduler's clock. Any goroutine may read it.
 	lastCommit atomic.Int64
@@ -97,10 +105,7 @@
 	withdrawAfter = 300 * time.Millisecond
 )
 
-var (
-	errReleased     = errors.New("the daemon has released the shard")
-	errOrderTooLate = errors.New("the order was too old when it was due to be sent")
-)
+var errReleased = errors.New("the daemon has released the shard")
 
 // post queues f for execution by run. It reports whether f was queued; it was
 // not if the term has ended.
@@ -216,11 +221,13 @@
 func (t *term) step(ctx context.Context, now time.Time) {
 	leaving := t.scheduler.leaving.Load() || t.shouldYield(now)
 	t.engine.Expire(now)
+	t.hub.Expire(now)
+	t.inviteRelays(now)
 	if now.Sub(t.lastSummary) >= summaryInterval {
 		t.lastSummary = now
 		stats := t.engine.Stats(now)
 		t.scheduler.meters.stats(stats)
-		t.load.write(now, t.scheduler.Log.Info()).Interface("Stats", stats).Dur("CommitAgeMs", t.commitAge(now)).
+		t.load.write(now, t.scheduler.Log.Info()).Int("Relays", t.hub.Relays()).Interface("Stats", stats).Dur("CommitAgeMs", t.commitAge(now)).
 			Strs("Apart", t.engine.Apart()).Msg("scheduler: state of the shard")
 	}
 	may := guavaqueue.Permissions{
@@ -228,8 +235,9 @@
 		LeasesUntil: time.Unix(0, t.lastCommit.Load()).Add(leaseBound),
 	}
 	for _, o := range t.engine.Orders(now, may) {
-		t.dispatch(ctx, o)
+		t.dispatch(ctx, now, o)
 	}
+	t.hub.Flush(now)
 	t.logEvents(now)
 	if t.engine.Deposed() {
 		t.err = errors.New("a worker has seen the token of a later owner")
@@ -349,18 +357,29 @@
 		}
 		t.engine.RemoveUnlisted(listed)
 	}
+	t.hub.ChangeWorkers(c)
 }
 
-// dispatch executes an order in the background and passes the outcome to the
-// engine.
-func (t *term) dispatch(ctx context.Context, o guavaqueue.Order) {
+// dispatch passes an order to a relay or executes it in the background, and passes the
+// outcome to the engine.
+func (t *term) dispatch(ctx context.Context, now time.Time, o guavaqueue.Order) {
+	t.load.orders[o.Kind].Add(1)
+	if t.hub.Send(now, o, t.relayUntil(&o)) {
+		t.load.relayed.Add(1)
+		return
+	}
 	pool := t.callPool
 	if o.Kind == guavaqueue.OrderHold {
 		pool = t.holdPool
 	}
 	err := pool.Submit(func() {
 		out, at := t.send(ctx, o)
-		t.post(func() { t.answer(o, out, at) })
+		t.post(func() {
+			if out.Err == nil {
+				t.hub.Answered(o.Worker.ID)
+			}
+			t.answer(o, out, at)
+		})
 	})
 	if err != nil {
 		// All calls of the pool are in progress.
@@ -379,47 +398,16 @@
 // send sends an order, unless it is too late for it, and returns its outcome and the
 // time of it.
 func (t *term) send(ctx context.Context, o guavaqueue.Order) (guavaqueue.Outcome, time.Time) {
-	out := guavaqueue.Outcome{Err: errOrderTooLate, NotSent: true}
+	out := guavaqueue.Outcome{Err: guavarelay.ErrOrderTooLate, NotSent: true}
 	now := t.scheduler.Clock.Now()
-	t.load.orders[o.Kind].Add(1)
 	t.load.orderDelay.record(now.Sub(o.Sent))
 	t.scheduler.meters.recordDuration("owner.order-delay", now.Sub(o.Sent))
 	if ctx.Err() == nil && t.mayStillSend(now, o) {
-		callCtx, cancel := context.WithTimeout(ctx, o.Timeout)
-		defer cancel()
-		out = t.execute(callCtx, o)
+		out = guavarelay.Execute(ctx, &t.scheduler.Log, t.scheduler.Runner, t.engine.Token, &o)
 	}
 	end := t.scheduler.Clock.Now()
 	t.scheduler.meters.order(o, out, end.Sub(now))
 	return out, end
 }
 
-// execute sends an order to its worker.
-func (t *term) execute(ctx context.Context, o guavaqueue.Order) (out guavaqueue.Outcome) {
-	defer func() {
-		if fault := recover(); fault != nil {
-			t.scheduler.Log.Error().Interface("Fault", fault).Bytes("Stack", debug.Stack()).Str("Worker", string(o.Worker.ID)).
-				Msg("scheduler: an order panicked")
-			out = guavaqueue.Outcome{Err: fmt.Errorf("panic: %v", fault)}
-		}
-	}()
-	r := t.scheduler.Runner
-	switch o.Kind {
-	case guavaqueue.OrderHold:
-		out.Report, out.Err = r.Hold(ctx, o.Worker, o.Hold)
-		out.Clock = out.Report.Clock
-	case guavaqueue.OrderStart:
-		out.Clock, out.Err = r.Start(ctx, o.Worker, o.Start)
-	case guavaqueue.OrderStop:
-		out.Clock, out.Err = r.Stop(ctx, o.Worker, o.Run, t.engine.Token)
-	case guavaqueue.OrderPace:
-		out.Clock, out.Err = r.Pace(ctx, o.Worker, o.Run, o.Percent, t.engine.Token)
-	}
-	var runErr *guavascale.RunError
-	if errors.As(out.Err, &runErr) {
-		out.Clock = runErr.Clock
-	}
-	return out
-}
-
 func newID() string { return strconv.FormatUint(rand.Uint64(), 36) }
--- a/guavascheduler/term_test.go
+++ b/guavascheduler/term_test.go
@@ -99,7 +99,8 @@
 	tm.events <- func() { panic("test") }
 	require.ErrorContains(t, tm.run(t.Context()), "panic")
 
-	out := tm.execute(t.Context(), guavaqueue.Order{Kind: guavaqueue.OrderStart})
+	order := guavaqueue.Order{Kind: guavaqueue.OrderStart, Timeout: time.Second, Sent: tm.scheduler.Clock.Now()}
+	out, _ := tm.send(t.Context(), order)
 	require.Error(t, out.Err)
 	assert.False(t, out.NotSent)
 }
@@ -134,7 +135,7 @@
 			clock.advance(tc.delay)
 			tm.recordCommit(clock.Now().Add(-tc.commitAge))
 			tm.listAsOf.Store(clock.Now().Add(-tc.listAge).UnixNano())
-			tm.dispatch(t.Context(), order)
+			tm.dispatch(t.Context(), clock.Now(), order)
 			<-tm.events
 			sent := runner.starts.Load() + runner.stops.Load() + runner.holds.Load()
 			assert.Equal(t, tc.sent, sent == 1)
