guavaqueue: a task under which workers crash is given up

Cause: only runs that ended Failed counted against a task. A run that ended with its worker counted as lost through no fault of its own, and its task was queued again as soon as the worker was known to be gone. Class of fault: a cause of failure that leaves no report is not counted, so retries have no bound.

Now a crash (the worker has restarted, another worker has its address, or its host refuses connections until the lease is over) is charged to the tasks whose runs it can have come from: those that were not yet active for 500 ms when the worker was last certainly running. If some of them were suspects before, only these are charged. After the second crash that nothing else can have caused, or the third, the submission fails. The counts are in the progress row, so a new owner goes on counting. A suspect starts where few runs are at risk, and other tasks avoid its worker until it has proved harmless.

Evidence: TestTaskThatCrashesWorkersIsGivenUp fails in all eight cases on (9 to 19 starts, never failed), TestSuspectsAreSeparated too.

--- a/errors.go
+++ b/errors.go
@@ -35,7 +35,10 @@
 		Op string
 		// MayHaveApplied is set if the operation may have taken effect.
 		MayHaveApplied bool
-		Cause          error
+		// Refused is set if the system's host refused the connection, which shows
+		// that the system's process has ended.
+		Refused bool
+		Cause   error
 	}
 
 	// OrderError reports that a worker rejected an Orders message as a whole.
--- /dev/null
+++ b/guavaqueue/crashes_test.go
@@ -0,0 +1,130 @@
+package guavaqueue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
+)
+
+// Guards against a task that crashes one worker after the other (BUDGET): it was started
+// again every few seconds until the end of the day, since only runs that ended Failed
+// counted as attempts. The tasks beside it must not be blamed for it.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	cases := map[string]struct {
+		crashTime time.Duration
+		newIDs    bool
+		// lost is set if the fatal start gets no answer.
+		lost bool
+		// newOwner is set if the owner is replaced after the first crash.
+		newOwner  bool
+		service   bool
+		maxStarts int
+	}{
+		"worker comes back":             {crashTime: 3 * time.Second, maxStarts: 2},
+		"under another ID":              {crashTime: 3 * time.Second, newIDs: true, maxStarts: 2},
+		"start without answer":          {crashTime: 3 * time.Second, lost: true, maxStarts: 2},
+		"start without answer, new ID":  {crashTime: 3 * time.Second, lost: true, newIDs: true, maxStarts: 2},
+		"back after its lease":          {crashTime: 12 * time.Second, maxStarts: 2},
+		"back after its lease, new ID":  {crashTime: 12 * time.Second, newIDs: true, maxStarts: 2},
+		"another owner after the crash": {crashTime: 3 * time.Second, newOwner: true, maxStarts: 3},
+		"service":                       {crashTime: 3 * time.Second, service: true, maxStarts: 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 6)
+			f.crashTime, f.newIDs, f.loseDeadly = tc.crashTime, tc.newIDs, tc.lost
+			f.deadly = map[string]bool{"deadly": true}
+			f.submit(serviceOf("s", 6))
+			f.advance(2 * time.Second)
+			for i := range 10 {
+				f.submit(batchOf(fmt.Sprintf("a%d", i), 1, 2, 2*time.Second))
+			}
+			deadly := batchOf("deadly", 1, 1, time.Second)
+			if tc.service {
+				deadly = serviceOf("deadly", 1)
+			}
+			f.submit(deadly)
+			if tc.newOwner {
+				f.advance(5 * time.Second)
+				require.Equal(t, 2, f.deadlyStarts)
+				f.replaceOwner()
+			}
+			f.advance(50 * time.Second)
+			assert.LessOrEqual(t, f.deadlyStarts, tc.maxStarts)
+			assert.Equal(t, map[guavascale.SubmissionState]int{
+				guavascale.SubmissionFailed: 1, guavascale.SubmissionCompleted: 10, guavascale.SubmissionRunning: 1,
+			}, f.countStates())
+			assert.Equal(t, 6, f.countRunning("s"))
+		})
+	}
+}
+
+// Guards against tasks that are given up since their workers crash for other reasons.
+func TestCrashesAreNotBlamedOnRunningTasks(t *testing.T) {
+	f := newFleet(t, 3)
+	f.crashTime = time.Second
+	f.submit(serviceOf("s", 6))
+	for range 6 {
+		f.advance(6 * time.Second)
+		require.Equal(t, 6, f.countRunning("s"))
+		for _, w := range f.workers {
+			if len(w.runs) > 0 {
+				f.crash(w)
+				break
+			}
+		}
+	}
+	f.advance(6 * time.Second)
+	assert.Equal(t, 6, f.countRunning("s"))
+}
+
+// Guards against a task that is given up since it starts beside the one that crashes
+// workers, and against two suspects on one worker, of which the crash would blame both.
+func TestSuspectsAreSeparated(t *testing.T) {
+	f := newFleet(t, 8)
+	f.crashTime = 2 * time.Second
+	f.deadly = map[string]bool{"deadly": true}
+	// All of them start on the same worker at the same time as the fatal task.
+	for _, w := range f.workers {
+		w.info.Leaving = w.info.ID != "w0"
+	}
+	f.listWorkers()
+	for i := range 6 {
+		f.submit(batchOf(fmt.Sprintf("a%d", i), 1, 1, 2*time.Second))
+	}
+	f.submit(batchOf("deadly", 1, 1, time.Second))
+	f.advance(200 * time.Millisecond)
+	require.Equal(t, 1, f.deadlyStarts)
+	for _, w := range f.workers {
+		w.info.Leaving = false
+	}
+	f.listWorkers()
+	f.advance(30 * time.Second)
+	assert.Equal(t, 2, f.deadlyStarts)
+	assert.Equal(t, map[guavascale.SubmissionState]int{
+		guavascale.SubmissionFailed: 1, guavascale.SubmissionCompleted: 6,
+	}, f.countStates())
+}
+
+// Guards against two suspects that are both given up when the worker crashes that they
+// share, although only one of them can have caused it.
+func TestSharedCrashBlamesNobody(t *testing.T) {
+	f := newFleet(t, 1)
+	f.crashTime = 2 * time.Second
+	for _, id := range []string{"a", "b"} {
+		f.submit(batchOf(id, 1, 1, 10*time.Second))
+	}
+	for range 2 {
+		f.advance(100 * time.Millisecond)
+		require.Equal(t, 2, f.countRunning(""))
+		f.crash(f.workers["w0"])
+		f.advance(f.crashTime + fleetTick)
+	}
+	f.advance(20 * time.Second)
+	assert.Equal(t, map[guavascale.SubmissionState]int{guavascale.SubmissionCompleted: 2}, f.countStates())
+}
--- a/guavaqueue/events.go
+++ b/guavaqueue/events.go
@@ -27,7 +27,8 @@
 		Age time.Duration
 		// Value is the measurement behind the decision, such as a latency as a
 		// fraction of its target, a percentage of progress, or a count of failures
-		// or runs. For EventFillerPreempted and EventStraggler, Reason names it.
+		// or runs. For EventFillerPreempted, EventStraggler and EventCrash, Reason names
+		// it.
 		Value float64
 	}
 )
@@ -45,6 +46,8 @@
 	EventFillerPreempted EventKind = "FillerSetAside"
 	EventStraggler       EventKind = "Straggler"
 	EventWorker          EventKind = "Worker"
+	// EventCrash is a worker that has probably crashed under a run.
+	EventCrash EventKind = "WorkerCrashed"
 )
 
 // maxEvents bounds the number of buffered events. Further events are only
--- a/guavaqueue/fleet_test.go
+++ b/guavaqueue/fleet_test.go
@@ -51,6 +51,15 @@
 		// accepted holds the submissions that were reported as accepted.
 		accepted map[string]bool
 		starts   int
+		// deadly holds the submissions whose tasks crash each worker that starts
+		// them, and deadlyStarts counts these starts. crashTime is how long the
+		// worker is down, newIDs is set if it comes back under another ID at its
+		// address, and loseDeadly is set if such starts get no answer.
+		deadly       map[string]bool
+		deadlyStarts int
+		crashTime    time.Duration
+		newIDs       bool
+		loseDeadly   bool
 		// holds counts the hold orders.
 		holds int
 	}
@@ -94,6 +103,10 @@
 		tailLatency time.Duration
 		paces       map[guavascale.Run]int
 		stuck       bool
+		// backAt is when a crashed worker starts again, zero if it has not crashed.
+		// replaced is set once another worker has its address.
+		backAt   time.Time
+		replaced bool
 		// pendingHold is the hold order that the worker has not answered yet.
 		pendingHold *pendingOrder
 	}
@@ -123,6 +136,7 @@
 var (
 	testEpoch   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	errNoAnswer = &guavascale.UnavailableError{System: "test", Op: "call", MayHaveApplied: true, Cause: errors.New("no answer")}
+	errRefused  = &guavascale.UnavailableError{System: "test", Op: "call", Refused: true, Cause: errors.New("connection refused")}
 )
 
 func newFleet(t testing.TB, workers int) *fleet {
@@ -224,6 +238,7 @@
 // tick advances the simulation by fleetTick.
 func (f *fleet) tick() {
 	f.now = f.now.Add(fleetTick)
+	f.restartCrashed()
 	f.endRuns()
 	f.startDelayed()
 	for _, o := range f.engine.Orders(f.now, Permissions{Act: true, Start: !f.listIsStale, Sole: !f.otherOwnerPossible, LeasesUntil: f.lastCommit.Add(testLeaseBound)}) {
@@ -293,6 +308,10 @@
 func (f *fleet) deliver(o Order) {
 	w := f.workers[o.Worker.ID]
 	switch {
+	case w.replaced:
+		f.engine.Answer(f.now, o, Outcome{Err: refusal(w, guavascale.RefusedBoot)})
+	case !w.backAt.IsZero():
+		f.engine.Answer(f.now, o, Outcome{Err: errRefused})
 	case w.removed || w.unreachable:
 		f.pending = append(f.pending, pendingOrder{o, f.now.Add(o.Timeout)})
 	case o.Kind == OrderHold:
@@ -309,7 +328,37 @@
 		f.delayedStarts = append(f.delayedStarts, delayedStart{w.info.ID, o.Start, f.now.Add(time.Duration(f.rand.Float64() * float64(f.maxStartDelay)))})
 		f.pending = append(f.pending, pendingOrder{o, f.now.Add(o.Timeout)})
 	default:
-		f.engine.Answer(f.now, o, f.execute(w, o))
+		out := f.execute(w, o)
+		if !w.backAt.IsZero() && f.loseDeadly {
+			out = Outcome{Err: errNoAnswer}
+		}
+		f.engine.Answer(f.now, o, out)
+	}
+}
+
+// crash ends a worker with all its runs for crashTime.
+func (f *fleet) crash(w *fakeWorker) {
+	if w.pendingHold != nil {
+		f.pending = append(f.pending, pendingOrder{w.pendingHold.order, f.now})
+		w.pendingHold = nil
+	}
+	w.backAt, w.runs = f.now.Add(f.crashTime), make(map[guavascale.Run]*fakeRun)
+}
+
+// restartCrashed restarts the crashed workers that are due.
+func (f *fleet) restartCrashed() {
+	for id, w := range f.workers {
+		if w.backAt.IsZero() || f.now.Before(w.backAt) || w.replaced {
+			continue
+		}
+		if f.newIDs {
+			w.replaced, w.removed = true, true
+			f.addWorker(fmt.Sprintf("%s+", id))
+		} else {
+			w.backAt = time.Time{}
+			f.restartWorker(w)
+		}
+		f.listWorkers()
 	}
 }
 
@@ -379,6 +428,10 @@
 		work = 0
 	}
 	w.runs[s.Run] = &fakeRun{startedAt: f.now, work: work}
+	if f.deadly[s.Run.Task.Submission] {
+		f.deadlyStarts++
+		f.crash(w)
+	}
 	return nil
 }
 
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -216,11 +216,13 @@
 		// in any order, and each must count once.
 		failed []int64
 		// avoidWorkers holds the workers on which attempts have failed or were
-		// slow.
+		// slow, or that crashed under them.
 		avoidWorkers []guavascale.WorkerID
-		done         bool
-		checkpoint   string
-		runs         []*run
+		// crashes is the number of workers that have probably crashed under the task.
+		crashes    int
+		done       bool
+		checkpoint string
+		runs       []*run
 		// notBefore is the earliest time of the next start.
 		notBefore time.Time
 		// inherited is set when an earlier owner may have started runs. They, or
@@ -249,6 +251,8 @@
 		// run, or for a stopping run, when it answered the stop order; zero
 		// before that.
 		confirmedAt time.Time
+		// adopted is set if another owner has started the run.
+		adopted bool
 		// unanswered is set when a start order got no response.
 		unanswered   bool
 		sentAt       time.Time
@@ -283,6 +287,8 @@
 		used    guavascale.Resources
 		// fillerMilliCores is the sum of the declared processors of fillers.
 		fillerMilliCores int64
+		// aliveAt is the latest time at which the worker was certainly running.
+		aliveAt time.Time
 		// clock is the last reading of the worker's clock, from a call that was
 		// answered at clockAt.
 		clock   time.Duration
@@ -302,8 +308,10 @@
 		holdAt      time.Time
 		// reportedAt is when the last report arrived.
 		reportedAt time.Time
-		// failedHolds counts the holds that failed since the last response.
+		// failedHolds counts the holds that failed since the last response, and ended
+		// is set if one of them showed that the worker's process has ended.
 		failedHolds int
+		ended       bool
 		// leavesAt is the earliest time at which a leaving worker may be gone.
 		leavesAt      time.Time
 		pendingStarts int
@@ -313,6 +321,9 @@
 		// failures counts failed and straggling runs since the last success.
 		failures     int
 		backoffUntil time.Time
+		// suspectUntil is the time until which tasks avoid the worker, since one under
+		// which another worker has crashed has just started there.
+		suspectUntil time.Time
 		// serviceMilliCores is the sum of the declared processors of service
 		// tasks.
 		serviceMilliCores int64
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -89,6 +89,9 @@
 	// this owner yet. A weak host that asks a thousand workers at once answers
 	// none of the calls in time.
 	maxFirstHolds = 128
+	// brokenHoldTime is the time without a response after which a hold has certainly
+	// reached a running worker.
+	brokenHoldTime = 50 * time.Millisecond
 	// maxPendingStarts bounds the number of unanswered starts per worker.
 	maxPendingStarts = 16
 	// noRoomBackoff is how long a worker that had no room gets no starts.
@@ -147,6 +150,9 @@
 // and removes a worker that is gone.
 func (e *Engine) checkLease(now time.Time, id guavascale.WorkerID, w *worker, sole bool) {
 	if sole && len(w.runs) > 0 && w.leaseExpired(now) {
+		if w.ended {
+			e.recordCrash(now, w)
+		}
 		for _, r := range w.runs {
 			e.markLost(now, r, "the lease expired")
 		}
@@ -232,6 +238,9 @@
 		e.spareWorkers[w.Service]--
 	}
 	e.addRun(r)
+	if t.crashes > 0 {
+		w.suspectUntil = now.Add(suspectPenaltyTime)
+	}
 	e.emit(Event{
 		Kind: EventStart, Submission: t.step.sub.ID, Run: r.id, Worker: w.ID,
 		Reason: e.urgencyName(t.step), Age: now.Sub(t.step.sub.accepted),
@@ -350,12 +359,20 @@
 		e.applyReport(now, o.Sent, w, out.Report)
 	case refusal == guavascale.RefusedBoot:
 		// Another worker has the address now, so this one has ended.
+		e.recordCrash(now, w)
 		for _, r := range w.runs {
 			e.markLost(now, r, "another worker has its address")
 		}
 		e.markReported(w.ID)
 		w.listed = false
 	default:
+		var unavailable *guavascale.UnavailableError
+		if waited := now.Sub(o.Sent); w.failedHolds == 0 && waited > brokenHoldTime && waited < o.Timeout {
+			// The connection broke while the worker delayed its report, so that the
+			// worker was running until now.
+			w.aliveAt = now
+		}
+		w.ended = w.ended || errors.As(out.Err, &unavailable) && unavailable.Refused
 		if w.failedHolds++; w.failedHolds == 1 {
 			e.emitWorker(now, w, "Unreachable", errorText(out.Err))
 		}
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -150,7 +150,7 @@
 		}
 		var w *worker
 		switch {
-		case len(t.avoidWorkers) > 0:
+		case len(t.avoidWorkers) > 0 || t.crashes > 0:
 			w = e.choose(now, st, q, t)
 		case e.knownFull(st):
 			return
@@ -235,6 +235,7 @@
 		if slices.Contains(t.avoidWorkers, w.ID) {
 			rating -= failedTaskPenalty
 		}
+		rating -= t.riskPenalty(w)
 		if best == nil || rating > bestRating || rating == bestRating && w.ID < best.ID {
 			best, bestRating = w, rating
 		}
@@ -267,6 +268,10 @@
 		return 0, false
 	}
 	score, ok := e.score(now, st, w)
+	if now.Before(w.suspectUntil) {
+		// A crash could not be attributed to one of several tasks.
+		score -= suspectPenalty
+	}
 	return score - failurePenalty*float64(min(w.failures, backoffFailures)), ok
 }
 
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -48,6 +48,9 @@
 		// Saved holds the checkpoints of unfinished tasks without runs, by task
 		// index.
 		Saved map[int]string `json:",omitempty"`
+		// Crashes holds the numbers of workers that have crashed under unfinished
+		// tasks, by task index.
+		Crashes map[int]int `json:",omitempty"`
 	}
 
 	// pairRow is the stored form of a pairEstimate: Suspicion is its probability,
@@ -253,6 +256,12 @@
 				}
 				sr.Failed[i] = t.failed
 			}
+			if t.crashes > 0 {
+				if sr.Crashes == nil {
+					sr.Crashes = make(map[int]int)
+				}
+				sr.Crashes[i] = t.crashes
+			}
 			if checkpoints && t.checkpoint != "" && len(t.runs) == 0 {
 				if sr.Saved == nil {
 					sr.Saved = make(map[int]string)
@@ -260,7 +269,7 @@
 				sr.Saved[i] = t.checkpoint
 			}
 		}
-		if sr.Done != nil || sr.Failed != nil || sr.Saved != nil {
+		if sr.Done != nil || sr.Failed != nil || sr.Saved != nil || sr.Crashes != nil {
 			row.Steps = append(row.Steps, sr)
 		}
 	}
@@ -464,6 +473,9 @@
 		for i, failed := range sr.Failed {
 			st.tasks[i].failed = failed
 		}
+		for i, n := range sr.Crashes {
+			st.tasks[i].crashes = n
+		}
 		for i, c := range sr.Saved {
 			st.tasks[i].checkpoint = c
 		}
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -92,6 +92,7 @@
 // handleRestart marks the runs of a restarted worker as lost, except those whose
 // start order may still arrive.
 func (e *Engine) handleRestart(now time.Time, w *worker, born int64) {
+	e.recordCrash(now, w)
 	for _, r := range w.runs {
 		if r.unanswered || r.startPending && r.phase == phaseStarting {
 			// The start order may still reach the restarted worker, whose
@@ -109,14 +110,15 @@
 	w.Born, w.leaseEnd = born, 0
 	w.resetEnds()
 	w.clockAt, w.holdAt = time.Time{}, time.Time{}
-	w.known, w.bootConfirmed, w.holdPending, w.failedHolds = false, false, false, 0
+	w.known, w.bootConfirmed, w.holdPending, w.failedHolds, w.ended = false, false, false, 0, false
 }
 
 // recordClock records a reading of a worker's clock from the response to a call
 // that was sent at sent. A jump of the clock shows that the worker has restarted,
 // even if nothing else does.
 func (e *Engine) recordClock(now, sent time.Time, w *worker, clock guavascale.WorkerClock) {
-	w.failedHolds = 0
+	w.failedHolds, w.ended = 0, false
+	w.aliveAt = now
 	if clock == 0 {
 		return
 	}
@@ -254,7 +256,7 @@
 		return nil
 	}
 	t.attempt = max(t.attempt, id.Attempt)
-	r := &run{id: id, task: t, worker: w, phase: phaseRunning, confirmedAt: now, startedAt: now, sentAt: now, pace: fullPace}
+	r := &run{id: id, task: t, worker: w, phase: phaseRunning, confirmedAt: now, startedAt: now, sentAt: now, pace: fullPace, adopted: true}
 	wanted := t.wanted() && (len(t.runs) == 0 || t.step.spec.Copies)
 	e.addRun(r)
 	if t.step.spec.Service {
--- a/guavarelay/hub.go
+++ b/guavarelay/hub.go
@@ -245,7 +245,7 @@
 		if !ok {
 			continue
 		}
-		if w.Status == statusFailed || w.Status == statusUnknown {
+		if w.Status == statusFailed || w.Status == statusUnknown || w.Status == statusEnded {
 			h.callDirectly(now, l, p.order.Worker.ID)
 		}
 		h.Answer(p.order, w.outcome(&p.order), now)
--- a/guavarelay/wire.go
+++ b/guavarelay/wire.go
@@ -108,10 +108,12 @@
 	statusRefused
 	// statusNotSent means that the relay has not sent the order, statusFailed that
 	// it could not be sent, which may be the worker's fault, and
-	// statusUnknown that it may take effect.
+	// statusUnknown that it may take effect, and statusEnded that the worker's host
+	// refused the connection.
 	statusNotSent
 	statusFailed
 	statusUnknown
+	statusEnded
 )
 
 var (
@@ -184,6 +186,8 @@
 		w.Status, w.Reason = statusNotSent, out.Err.Error()
 	case errors.As(out.Err, &refused):
 		w.Status, w.Reason = statusRefused, string(refused.Reason)
+	case errors.As(out.Err, &unavailable) && unavailable.Refused:
+		w.Status, w.Reason = statusEnded, out.Err.Error()
 	case errors.As(out.Err, &unavailable) && !unavailable.MayHaveApplied:
 		w.Status, w.Reason = statusFailed, out.Err.Error()
 	default:
@@ -214,7 +218,9 @@
 	case statusNotSent:
 		return notSent(errors.New(w.Reason))
 	default:
-		out.Err = unavailable(o, w.Status != statusFailed, errors.New(w.Reason))
+		err := unavailable(o, w.Status != statusFailed && w.Status != statusEnded, errors.New(w.Reason))
+		err.Refused = w.Status == statusEnded
+		out.Err = err
 		return out
 	}
 	rep := &out.Report
@@ -235,6 +241,6 @@
 
 func notSent(cause error) guavaqueue.Outcome { return guavaqueue.Outcome{Err: cause, NotSent: true} }
 
-func unavailable(o *guavaqueue.Order, mayHaveApplied bool, cause error) error {
+func unavailable(o *guavaqueue.Order, mayHaveApplied bool, cause error) *guavascale.UnavailableError {
 	return &guavascale.UnavailableError{System: system, Op: o.Kind.String(), MayHaveApplied: mayHaveApplied, Cause: cause}
 }
