guavaqueue: a scheduling pass visits each worker once, in a list

Cause: a pass went over the map of all workers seven times and looked up each worker's pool three times.

Workers are in a list, a worker knows its pool, and leases, resent orders, drains and candidates are handled in one loop. Holds begin at another worker in each pass, as the random order of the map did.

No change of decisions is meant; the order of workers within a pass is now fixed instead of random.

--- a/guavaqueue/demand.go
+++ b/guavaqueue/demand.go
@@ -26,36 +26,6 @@
 	reservePenalty = 3.0
 )
 
-// findCandidates computes which workers of each pool may get starts in this
-// scheduling pass, and on how many workers without services services may still be
-// started.
-func (e *Engine) findCandidates(now time.Time) {
-	if e.candidates == nil {
-		e.candidates, e.spareWorkers = make(map[string][]*worker), make(map[string]int)
-	}
-	clear(e.excludedServicesByFiller)
-	clear(e.spareWorkers)
-	for pool := range e.candidates {
-		e.candidates[pool] = e.candidates[pool][:0]
-	}
-	listed := make(map[string]int)
-	for _, w := range e.workers {
-		if e.usable(now, w) {
-			e.candidates[w.Service] = append(e.candidates[w.Service], w)
-		}
-		if !w.listed {
-			continue
-		}
-		listed[w.Service]++
-		if w.serviceMilliCores == 0 {
-			e.spareWorkers[w.Service]++
-		}
-	}
-	for pool, n := range listed {
-		e.spareWorkers[pool] -= int(reservedShare * float64(n))
-	}
-}
-
 // updateDemand computes the demand of each filler kind, which is its load as a
 // fraction of the processors on which it may run, and sums up the demands for
 // each worker.
@@ -66,19 +36,19 @@
 	e.demandComputedAt = now
 	loads := e.updateFillerLoads()
 	e.demandByFiller = make(map[string]float64, len(loads))
-	for _, w := range e.workers {
+	for _, w := range e.workerList {
 		w.demand = 0
 	}
 	for kind, milliCores := range loads {
 		available := int64(0)
-		for _, w := range e.workers {
+		for _, w := range e.workerList {
 			if e.usable(now, w) && !e.excluded(now, kind, w) {
 				available += w.Capacity.MilliCores
 			}
 		}
 		demand := float64(milliCores) / float64(max(available, milliCores, 1))
 		e.demandByFiller[kind] = demand
-		for _, w := range e.workers {
+		for _, w := range e.workerList {
 			if !e.excluded(now, kind, w) {
 				w.demand += demand
 			}
@@ -96,7 +66,7 @@
 			loads[st.spec.Kind] += int64(st.waiting) * st.spec.Size.MilliCores
 		}
 	}
-	for _, w := range e.workers {
+	for _, w := range e.workerList {
 		for _, l := range w.loads() {
 			if l.Class == guavascale.ClassBatch {
 				loads[l.Kind] += l.MilliCores
--- a/guavaqueue/drain.go
+++ b/guavaqueue/drain.go
@@ -6,24 +6,21 @@
 // still report the stopped runs.
 const drainMargin = 300 * time.Millisecond
 
-// drain stops runs on leaving workers so that they continue elsewhere: services
-// at once, and tasks with checkpoints just before the worker leaves if they would
+// drain stops runs on a leaving worker so that they continue elsewhere: services at once, and tasks with checkpoints just before the worker leaves if they would
 // not end in time. Other tasks keep running, since stopping them early saves
 // none of their work.
-func (e *Engine) drain(now time.Time) {
-	for _, w := range e.workers {
-		if !w.Leaving || w.failedHolds > 0 {
+func (e *Engine) drain(now time.Time, w *worker) {
+	if !w.Leaving || w.failedHolds > 0 {
+		return
+	}
+	for _, r := range w.runs {
+		if r.phase != phaseRunning {
 			continue
 		}
-		for _, r := range w.runs {
-			if r.phase != phaseRunning {
-				continue
-			}
-			spec := r.task.step.spec
-			deadline := w.leavesAt.Add(-e.Limits.StopGrace - drainMargin)
-			if spec.Service || spec.Checkpoints && now.After(deadline) && r.remaining(now) > drainMargin {
-				e.stop(now, r)
-			}
+		spec := r.task.step.spec
+		deadline := w.leavesAt.Add(-e.Limits.StopGrace - drainMargin)
+		if spec.Service || spec.Checkpoints && now.After(deadline) && r.remaining(now) > drainMargin {
+			e.stop(now, r)
 		}
 	}
 }
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -46,6 +46,14 @@
 		queues  map[string]*guavascale.Queue
 		subs    map[string]*submission
 		workers map[guavascale.WorkerID]*worker
+		// workerList holds all workers, and pools the workers of each service. They
+		// spare a scheduling pass most of the map operations, which would be most of
+		// its cost for a thousand workers.
+		workerList []*worker
+		pools      map[string]*pool
+		// holdOffset is the index in workerList at which the next pass begins to send
+		// holds.
+		holdOffset int
 		// readySteps holds the steps with tasks to place.
 		readySteps []*step
 		// scheduled holds submissions with occurrences that are not due yet.
@@ -86,16 +94,11 @@
 		// thousandths of a core.
 		fillerLoads      map[string]int64
 		demandComputedAt time.Time
-		// candidates holds the workers of each pool that may get starts in this
-		// scheduling pass. excludedServicesByFiller caches the results of
-		// excludedServices during the pass.
-		candidates               map[string][]*worker
+		// excludedServicesByFiller caches the results of excludedServices during a
+		// scheduling pass.
 		excludedServicesByFiller map[string]map[string]bool
 		// ranked is a buffer that rankWorkers reuses.
 		ranked ranking
-		// spareWorkers counts, by pool, the workers without services on which
-		// services may still be started in this scheduling pass.
-		spareWorkers map[string]int
 		// events holds the events that the next call of Events returns, and
 		// droppedEvents counts those that did not fit.
 		events              []Event
@@ -269,8 +272,20 @@
 		usedMilliCores  int64
 	}
 
+	// pool holds the workers of a service in one scheduling pass.
+	pool struct {
+		// candidates may get starts.
+		candidates []*worker
+		// listed counts the listed workers, spare those without services on which
+		// services may still be started.
+		listed, spare int
+	}
+
 	worker struct {
 		guavascale.Worker
+		pool *pool
+		// index is the position in Engine.workerList.
+		index int
 		// listed is set while the worker is in the platform's worker list.
 		listed bool
 		// known is set when the worker has answered under this token since its
@@ -368,7 +383,7 @@
 			s.WaitingFillers += st.waiting
 		}
 	}
-	for _, w := range e.workers {
+	for _, w := range e.workerList {
 		s.Runs += len(w.runs)
 		if w.known {
 			s.Known++
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -113,30 +113,37 @@
 		}
 	}
 	e.soleOwner, e.leasesUntil = may.Sole, may.LeasesUntil
+	if may.Sole && e.missing.expire(now) {
+		e.fleetDirty = true
+	}
+	act := may.Act && !e.deposed
 	e.firstHolds = 0
-	for id, w := range e.workers {
+	e.clearPools()
+	for i := len(e.workerList) - 1; i >= 0; i-- {
+		w := e.workerList[i]
 		w.bootConfirmed = w.known && (may.Sole || w.bootConfirmed)
 		if w.holdPending && !w.known {
 			e.firstHolds++
 		}
-		e.checkLease(now, id, w, may.Sole)
-	}
-	if may.Sole && e.missing.expire(now) {
-		e.fleetDirty = true
+		if e.checkLease(now, w, may.Sole); !act {
+			continue
+		}
+		e.resend(now, w, may.Start)
+		e.drain(now, w)
+		e.addCandidate(now, w)
 	}
-	if !may.Act || e.deposed {
+	if !act {
 		e.orders = nil
 		return nil
 	}
-	e.resend(now, may.Start)
-	e.drain(now)
 	if may.Start {
-		e.findCandidates(now)
+		e.reserveWorkers()
 		e.place(now)
 		e.replaceStragglers(now)
 	}
-	for _, w := range e.workers {
-		e.hold(now, w)
+	e.holdOffset++
+	for i := range e.workerList {
+		e.hold(now, e.workerList[(i+e.holdOffset)%len(e.workerList)])
 	}
 	out := e.orders
 	e.orders = nil
@@ -148,7 +155,7 @@
 
 // checkLease marks the runs of a worker as lost if its lease must have expired,
 // and removes a worker that is gone.
-func (e *Engine) checkLease(now time.Time, id guavascale.WorkerID, w *worker, sole bool) {
+func (e *Engine) checkLease(now time.Time, w *worker, sole bool) {
 	if sole && len(w.runs) > 0 && w.leaseExpired(now) {
 		if w.ended {
 			e.recordCrash(now, w)
@@ -160,8 +167,8 @@
 		w.known = false
 	}
 	if !w.listed && len(w.runs) == 0 && !w.holdPending && (w.clockAt.IsZero() || w.leaseExpired(now)) {
-		delete(e.workers, id)
-		if e.fleet[id] {
+		e.removeWorker(w)
+		if e.fleet[w.ID] {
 			e.fleetDirty = true
 		}
 	}
@@ -235,7 +242,7 @@
 		sentAt: now, startedAt: now, startPending: true, pace: fullPace,
 	}
 	if t.step.spec.Service && w.serviceMilliCores == 0 {
-		e.spareWorkers[w.Service]--
+		w.pool.spare--
 	}
 	e.addRun(r)
 	if t.crashes > 0 {
@@ -280,30 +287,28 @@
 	return Order{Kind: OrderStop, Worker: w.Worker, Run: id, Timeout: orderTimeout}
 }
 
-// resend repeats unanswered stop orders, and start orders if mayStart is set.
-func (e *Engine) resend(now time.Time, mayStart bool) {
-	for _, w := range e.workers {
-		if w.unsettledRuns == 0 {
-			continue
-		}
-		unsettled := 0
-		for _, r := range w.runs {
-			switch {
-			case r.phase == phaseStopping && r.confirmedAt.IsZero():
-				unsettled++
-				if now.Sub(r.stopSentAt) > resendAfter {
-					e.sendStop(now, r)
-				}
-			case r.phase == phaseStarting && r.unanswered:
-				unsettled++
-				if mayStart && !r.startPending && now.Sub(r.sentAt) > resendAfter && e.fenced(w) && w.failedHolds == 0 &&
-					!e.missing.recorded[w.ID] {
-					e.sendStart(now, r)
-				}
+// resend repeats unanswered stop orders of a worker, and start orders if mayStart is set.
+func (e *Engine) resend(now time.Time, w *worker, mayStart bool) {
+	if w.unsettledRuns == 0 {
+		return
+	}
+	unsettled := 0
+	for _, r := range w.runs {
+		switch {
+		case r.phase == phaseStopping && r.confirmedAt.IsZero():
+			unsettled++
+			if now.Sub(r.stopSentAt) > resendAfter {
+				e.sendStop(now, r)
+			}
+		case r.phase == phaseStarting && r.unanswered:
+			unsettled++
+			if mayStart && !r.startPending && now.Sub(r.sentAt) > resendAfter && e.fenced(w) && w.failedHolds == 0 &&
+				!e.missing.recorded[w.ID] {
+				e.sendStart(now, r)
 			}
 		}
-		w.unsettledRuns = unsettled
 	}
+	w.unsettledRuns = unsettled
 }
 
 // Answer applies the outcome of an order.
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -227,7 +227,7 @@
 	}
 	var best *worker
 	bestRating := 0.0
-	for _, w := range e.candidates[q.Service] {
+	for _, w := range e.pool(q.Service).candidates {
 		rating, ok := e.rate(now, st, w)
 		if !ok {
 			continue
@@ -308,7 +308,7 @@
 		// Services of the same kind share workers, so that fillers which disturb
 		// this kind find workers without it.
 		score = w.kindAffinity(st.spec.Kind) - free - demandWeight*e.displacedDemand(now, st.spec.Kind, w)
-		if w.serviceMilliCores == 0 && e.spareWorkers[w.Service] <= 0 {
+		if w.serviceMilliCores == 0 && w.pool.spare <= 0 {
 			score -= reservePenalty
 		}
 	case st.spec.Filler:
--- a/guavaqueue/ranking.go
+++ b/guavaqueue/ranking.go
@@ -23,7 +23,7 @@
 // rankWorkers returns the ranking for a step. It is valid until the next call.
 func (e *Engine) rankWorkers(now time.Time, st *step, q *guavascale.Queue) *ranking {
 	e.ranked = e.ranked[:0]
-	for _, w := range e.candidates[q.Service] {
+	for _, w := range e.pool(q.Service).candidates {
 		if rating, ok := e.rate(now, st, w); ok {
 			e.ranked = append(e.ranked, ratedWorker{w, rating})
 		}
--- a/guavaqueue/ranking_test.go
+++ b/guavaqueue/ranking_test.go
@@ -42,7 +42,11 @@
 				f.engine.subs["x"].durable = true
 				e := f.engine
 				e.startDueOccurrences(f.now, e.subs["x"])
-				e.findCandidates(f.now)
+				e.clearPools()
+				for _, w := range e.workerList {
+					e.addCandidate(f.now, w)
+				}
+				e.reserveWorkers()
 				st, q := e.subs["x"].steps[0], e.queues["fast"]
 				ranked := e.rankWorkers(f.now, st, q)
 				for i, tk := range st.tasks {
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -370,7 +370,7 @@
 			reply(s.state)
 		}
 	}
-	for _, w := range e.workers {
+	for _, w := range e.workerList {
 		if len(w.unackedEnds) == 0 {
 			continue
 		}
--- a/guavaqueue/stragglers.go
+++ b/guavaqueue/stragglers.go
@@ -66,7 +66,7 @@
 		return
 	}
 	e.stragglersCheckedAt = now
-	for _, w := range e.workers {
+	for _, w := range e.workerList {
 		if w.failedHolds > 0 {
 			continue
 		}
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -45,13 +45,9 @@
 
 // SetWorker adds or updates a worker from the platform's worker list.
 func (e *Engine) SetWorker(now time.Time, w guavascale.Worker) {
-	if e.workers == nil {
-		e.workers = make(map[guavascale.WorkerID]*worker)
-	}
 	ws := e.workers[w.ID]
 	if ws == nil {
-		ws = &worker{runs: make(map[guavascale.Run]*run), durable: e.fleet[w.ID]}
-		e.workers[w.ID] = ws
+		ws = e.addWorker(w.ID)
 	}
 	if ws.Born != 0 && w.Born > ws.Born {
 		e.handleRestart(now, ws, w.Born)
@@ -60,7 +56,7 @@
 		ws.leavesAt = now.Add(w.LeavesAfter)
 	}
 	w.Born = max(w.Born, ws.Born)
-	ws.Worker, ws.listed = w, true
+	ws.Worker, ws.listed, ws.pool = w, true, e.pool(w.Service)
 	if !ws.durable && ws.mayHoldRuns() {
 		e.fleetDirty = true
 	}
