guavarelay: a paused owner reads waiting outcomes first; unknown orders are not sent

Found when reading the diff: after a pause of its own the owner took orders for overdue whose outcomes waited in the socket, and a relay reported an order of a kind that it does not know as done. What is known of paths between relays and workers moves to a file of its own; two fields have clearer names.

--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -323,10 +323,11 @@
 		holdAt      time.Time
 		// reportedAt is when the last report arrived.
 		reportedAt time.Time
-		// failedHolds counts the holds that failed since the last response, and ended
-		// is set if one of them showed that the worker's process has ended.
-		failedHolds int
-		ended       bool
+		// failedHolds counts the holds that failed since the last response, and
+		// processEnded is set if one of them showed that the worker's process has
+		// ended.
+		failedHolds  int
+		processEnded bool
 		// leavesAt is the earliest time at which a leaving worker may be gone.
 		leavesAt      time.Time
 		pendingStarts int
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -157,7 +157,7 @@
 // and removes a worker that is gone.
 func (e *Engine) checkLease(now time.Time, w *worker, sole bool) {
 	if sole && len(w.runs) > 0 && w.leaseExpired(now) {
-		if w.ended {
+		if w.processEnded {
 			e.recordCrash(now, w)
 		}
 		for _, r := range w.runs {
@@ -377,7 +377,7 @@
 			// worker was running until now.
 			w.aliveAt = now
 		}
-		w.ended = w.ended || errors.As(out.Err, &unavailable) && unavailable.Refused
+		w.processEnded = w.processEnded || errors.As(out.Err, &unavailable) && unavailable.Refused
 		if w.failedHolds++; w.failedHolds == 1 {
 			e.emitWorker(now, w, "Unreachable", errorText(out.Err))
 		}
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -106,14 +106,14 @@
 	w.Born, w.leaseEnd = born, 0
 	w.resetEnds()
 	w.clockAt, w.holdAt = time.Time{}, time.Time{}
-	w.known, w.bootConfirmed, w.holdPending, w.failedHolds, w.ended = false, false, false, 0, false
+	w.known, w.bootConfirmed, w.holdPending, w.failedHolds, w.processEnded = false, false, false, 0, false
 }
 
 // recordClock records a reading of a worker's clock from the response to a call
 // that was sent at sent. A jump of the clock shows that the worker has restarted,
 // even if nothing else does.
 func (e *Engine) recordClock(now, sent time.Time, w *worker, clock guavascale.WorkerClock) {
-	w.failedHolds, w.ended = 0, false
+	w.failedHolds, w.processEnded = 0, false
 	w.aliveAt = now
 	if clock == 0 {
 		return
--- a/guavarelay/guavarelay.go
+++ b/guavarelay/guavarelay.go
@@ -33,7 +33,8 @@
 	"guavascale.example/guavaqueue"
 )
 
-// Preamble is sent first on a stream, which shares a listener with other protocols.
+// Preamble is sent first on a stream, which shares a listener with other protocols. It
+// contains the version of the messages.
 const Preamble = "GVRELAY1"
 
 // system names relays in errors.
@@ -45,6 +46,7 @@
 var (
 	errLinkLost   = errors.New("the stream to the relay broke")
 	errNoPath     = errors.New("the relay gets no answer from most of its workers")
+	errUnknown    = errors.New("the kind of the order is not known")
 	errNoCapacity = errors.New("too many calls of the relay are in progress")
 )
 
@@ -69,6 +71,8 @@
 		out.Clock, out.Err = r.Stop(ctx, o.Worker, o.Run, token)
 	case guavaqueue.OrderPace:
 		out.Clock, out.Err = r.Pace(ctx, o.Worker, o.Run, o.Percent, token)
+	default:
+		return notSent(errUnknown)
 	}
 	var runErr *guavascale.RunError
 	if errors.As(out.Err, &runErr) {
--- a/guavarelay/hub.go
+++ b/guavarelay/hub.go
@@ -34,20 +34,16 @@
 		direct map[guavascale.WorkerID]*directCalls
 		// excluded holds the instances that may not be relays until the given time,
 		// since most of their workers answer only the owner.
-		excluded  map[string]time.Time
-		seed      hashSeed
+		excluded map[string]time.Time
+		seed     maphash.Seed
+		// stale is set if relays or workers have changed since plannedAt, the time
+		// of the last assignment.
 		stale     bool
 		plannedAt time.Time
+		// expiredAt is the time of the last call of Expire.
 		expiredAt time.Time
-		number    uint64
-	}
-
-	directCalls struct {
-		until time.Time
-		// relay got no answer from the worker. Answered is set once the owner has
-		// got one: the worker is alive, and the relay's path to it is broken.
-		relay    *link
-		answered bool
+		// number is that of the last order.
+		number uint64
 	}
 
 	pendingOrder struct {
@@ -68,13 +64,6 @@
 	stallTime = 200 * time.Millisecond
 	// outcomeMargin is how long after an order's timeout its outcome may arrive.
 	outcomeMargin = 1500 * time.Millisecond
-	// directTime is how long the owner calls a worker itself after its relay got no
-	// answer. The path between the two may be broken.
-	directTime = 10 * time.Second
-	// excludeTime is how long a daemon that can't reach its workers is no relay, and
-	// minUnreached the least number of workers that shows it.
-	excludeTime  = 30 * time.Second
-	minUnreached = 4
 	// minValidity is the remaining validity below which an order is not worth passing
 	// on.
 	minValidity = 150 * time.Millisecond
@@ -92,12 +81,6 @@
 	return instances
 }
 
-// MayJoin reports whether a daemon may be a relay.
-func (h *Hub) MayJoin(instance string) bool {
-	_, excluded := h.excluded[instance]
-	return !excluded
-}
-
 // ChangeWorkers applies changes of the list of workers.
 func (h *Hub) ChangeWorkers(c *guavascale.WorkerChanges) {
 	if c.Full || h.workers == nil {
@@ -178,26 +161,18 @@
 	h.expiredAt = now
 	for _, l := range h.links {
 		if stalled {
-			l.receivedAt = now
+			l.receivedAt, l.checkedAt = now, now
 		}
 		if now.Sub(l.receivedAt) > linkTimeout {
 			h.lose(l, errLinkLost)
 			continue
 		}
 		for _, p := range l.takeOverdue(now) {
+			h.callDirectly(now, l, p.order.Worker.ID)
 			h.Answer(p.order, guavaqueue.Outcome{Err: unavailable(&p.order, true, errLinkLost)}, now)
 		}
 	}
-	for id, d := range h.direct {
-		if !now.Before(d.until) {
-			delete(h.direct, id)
-		}
-	}
-	for instance, until := range h.excluded {
-		if !now.Before(until) {
-			delete(h.excluded, instance)
-		}
-	}
+	h.expirePaths(now)
 	if h.stale && now.Sub(h.plannedAt) >= planInterval {
 		h.plan(now)
 	}
@@ -252,37 +227,6 @@
 	}
 }
 
-func (h *Hub) callDirectly(now time.Time, l *link, id guavascale.WorkerID) {
-	if h.direct == nil {
-		h.direct = make(map[guavascale.WorkerID]*directCalls)
-	}
-	h.direct[id] = &directCalls{until: now.Add(directTime), relay: l}
-}
-
-// Answered records that a worker has answered the owner itself. A relay that can't reach
-// most of its workers, although they answer the owner, is excluded.
-func (h *Hub) Answered(id guavascale.WorkerID) {
-	d := h.direct[id]
-	if d == nil || d.answered {
-		return
-	}
-	d.answered = true
-	l, unreached := d.relay, 0
-	for _, other := range h.direct {
-		if other.relay == l && other.answered {
-			unreached++
-		}
-	}
-	if unreached < minUnreached || 2*unreached <= l.workers || h.links[l.hello.Instance] != l {
-		return
-	}
-	if h.excluded == nil {
-		h.excluded = make(map[string]time.Time)
-	}
-	h.excluded[l.hello.Instance] = h.Clock.Now().Add(excludeTime)
-	h.lose(l, errNoPath)
-}
-
 // lose drops a relay whose stream has failed.
 func (h *Hub) lose(l *link, cause error) {
 	if h.links[l.hello.Instance] != l {
@@ -308,9 +252,5 @@
 		h.Answer(p.order, out, now)
 	}
 	l.pending = nil
-	for id, d := range h.direct {
-		if d.relay == l {
-			delete(h.direct, id)
-		}
-	}
+	h.forgetPaths(l)
 }
--- a/guavarelay/plan.go
+++ b/guavarelay/plan.go
@@ -12,18 +12,13 @@
 // Assumed load: at the worst load each worker gets four calls a second, which end with
 // a run or start one, and hosts differ by a factor of seven in processor time.
 
-type (
-	// Candidate is a daemon that can be a relay.
-	Candidate struct {
-		Instance string
-		Zone     guavascale.Zone
-		// Strength is the processor time available to the daemon, in cores.
-		Strength float64
-	}
-
-	// hashSeed makes the assignment of workers to relays repeatable.
-	hashSeed = maphash.Seed
-)
+// Candidate is a daemon that can be a relay.
+type Candidate struct {
+	Instance string
+	Zone     guavascale.Zone
+	// Strength is the processor time available to the daemon, in cores.
+	Strength float64
+}
 
 const (
 	// workersPerCore is the number of workers that a daemon calls for each core
@@ -81,9 +76,9 @@
 }
 
 // assign assigns workers to relays, each to one in its zone if possible, and no more
-// to a relay than its capacity. A worker that gets none is not in the result. The loss
-// of a relay moves few workers of the others.
-func assign(seed hashSeed, workers map[guavascale.WorkerID]guavascale.Zone, relays []Candidate) map[guavascale.WorkerID]string {
+// to a relay than its capacity. A worker that gets none is not in the result. With the
+// same seed, the loss of a relay moves few workers of the others.
+func assign(seed maphash.Seed, workers map[guavascale.WorkerID]guavascale.Zone, relays []Candidate) map[guavascale.WorkerID]string {
 	left := make(map[string]int, len(relays))
 	for _, r := range relays {
 		left[r.Instance] = capacity(r.Strength)
@@ -118,7 +113,7 @@
 }
 
 // rendezvousRank returns the rank of a relay for a worker.
-func rendezvousRank(seed hashSeed, id guavascale.WorkerID, instance string) uint64 {
+func rendezvousRank(seed maphash.Seed, id guavascale.WorkerID, instance string) uint64 {
 	var h maphash.Hash
 	h.SetSeed(seed)
 	_, _ = h.WriteString(string(id))
