--- a/guavaqueue/crashes_test.go
+++ b/guavaqueue/crashes_test.go
@@ -128,3 +128,20 @@
 	f.advance(20 * time.Second)
 	assert.Equal(t, map[guavascale.SubmissionState]int{guavascale.SubmissionCompleted: 2}, f.countStates())
 }
+
+// Guards against a task that starts beside a suspect and shares the blame for its crash:
+// the suspect was then started a third time.
+func TestFreshTaskBesideSuspectIsNotCharged(t *testing.T) {
+	f := newFleet(t, 1)
+	f.crashTime = 2 * time.Second
+	f.deadly = map[string]bool{"deadly": true}
+	f.submit(batchOf("deadly", 1, 1, time.Second))
+	f.advance(200 * time.Millisecond)
+	// By then the service is more urgent, so it starts first on the restarted worker.
+	f.submit(serviceOf("a", 1))
+	f.advance(20 * time.Second)
+	assert.Equal(t, 2, f.deadlyStarts)
+	assert.Equal(t, map[guavascale.SubmissionState]int{
+		guavascale.SubmissionFailed: 1, guavascale.SubmissionRunning: 1,
+	}, f.countStates())
+}
