guavaqueue: an unanswered start is not repeated where new runs are not allowed

Cause, from the code: a start without an answer is sent again every 300 ms until it is answered. That check asked for the token and the worker's health, not whether the worker leaves or its zone is closed. With 30% of the orders unanswered a start of the time before the evacuation can be repeated for seconds. Class: a permission that is checked when an order is first given, not when it is repeated.

Now such a start is stopped instead, which also keeps the late order from taking effect, and the task is placed elsewhere once the stop is confirmed.

Evidence: the test fails in both cases without the change.

--- a/guavaqueue/failure_test.go
+++ b/guavaqueue/failure_test.go
@@ -505,3 +505,36 @@
 	f.advance(time.Second)
 	assert.Equal(t, 2, f.starts)
 }
+
+// Guards against a start without an answer that is repeated although the worker's zone
+// has been closed, or the worker leaves, in the meantime (EVAC): one of the repeated
+// orders was carried out five seconds after the zone had been closed.
+func TestUnansweredStartIsNotRepeatedWhereRunsAreNotAllowed(t *testing.T) {
+	cases := map[string]func(f *fleet, w *fakeWorker){
+		"zone closed": func(f *fleet, w *fakeWorker) {
+			c := *f.catalog
+			c.Closed = map[guavascale.Zone]bool{w.info.Zone: true}
+			f.engine.SetCatalog(&c)
+		},
+		"worker leaves": func(f *fleet, w *fakeWorker) {
+			w.info.Leaving = true
+			f.listWorkers()
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.advance(time.Second)
+			w := f.workers["w0"]
+			f.lostStartShare, f.maxStartDelay = 1, time.Hour
+			f.submit(batchOf("a", 1, 1, time.Second))
+			f.advance(500 * time.Millisecond)
+			require.Len(t, f.delayedStarts, 1)
+			change(f, w)
+			f.delayedStarts = nil
+			f.lostStartShare = 0
+			f.advance(10 * time.Second)
+			assert.Zero(t, f.starts)
+		})
+	}
+}
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -288,6 +288,7 @@
 }
 
 // resend repeats unanswered stop orders of a worker, and start orders if mayStart is set.
+// A start is stopped instead if the worker may get no new runs any more.
 func (e *Engine) resend(now time.Time, w *worker, mayStart bool) {
 	if w.unsettledRuns == 0 {
 		return
@@ -302,6 +303,10 @@
 			}
 		case r.phase == phaseStarting && r.unanswered:
 			unsettled++
+			if !e.acceptsRuns(w) {
+				e.stop(now, r)
+				continue
+			}
 			if mayStart && !r.startPending && now.Sub(r.sentAt) > resendAfter && e.fenced(w) && w.failedHolds == 0 &&
 				!e.missing.recorded[w.ID] {
 				e.sendStart(now, r)
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -213,9 +213,13 @@
 
 // usable reports whether runs may be started on the worker now.
 func (e *Engine) usable(now time.Time, w *worker) bool {
-	return w.listed && e.fenced(w) && w.durable && !e.missing.recorded[w.ID] && !w.Leaving && w.failedHolds == 0 &&
-		!now.Before(w.backoffUntil) && w.pendingStarts < maxPendingStarts &&
-		(e.catalog == nil || !e.catalog.Closed[w.Zone])
+	return w.listed && e.fenced(w) && w.durable && !e.missing.recorded[w.ID] && w.failedHolds == 0 &&
+		!now.Before(w.backoffUntil) && w.pendingStarts < maxPendingStarts && e.acceptsRuns(w)
+}
+
+// acceptsRuns reports whether the platform allows new runs on the worker.
+func (e *Engine) acceptsRuns(w *worker) bool {
+	return !w.Leaving && (e.catalog == nil || !e.catalog.Closed[w.Zone])
 }
 
 // choose returns the worker for a task of the step, or nil. It prefers workers
