guavaqueue: starts that never arrived are not charged with a crash

Cause, from the code: a start without an answer counted as a run that may have crashed its worker.

Now a start without an answer is charged only if its call broke off before its timeout, as it does when the worker crashes. Three charges are needed (four for a crash that several suspects share) instead of two (three): BUDGET allows two more starts after the third crash, and a submission that is given up wrongly is the worse mistake.

--- a/guavaqueue/crashes.go
+++ b/guavaqueue/crashes.go
@@ -14,8 +14,8 @@
 	// maxCrashes is the number of workers that may crash under a task before its
 	// submission fails if nothing else can have caused the last crash, and
 	// maxSharedCrashes the number that may crash whatever else ran there.
-	maxCrashes       = 2
-	maxSharedCrashes = 3
+	maxCrashes       = 3
+	maxSharedCrashes = 4
 	// suspectTime is how long a run must have been active, at a time at which the
 	// worker was certainly running, so that it counts as harmless. A worker crashes as soon as it starts the
 	// task.
@@ -28,13 +28,18 @@
 	suspectPenaltyTime = suspectTime + holdWait
 )
 
-// isSuspect reports whether the run may crash its worker: the worker has not answered
-// for long enough after the start, or has never confirmed it.
+// isSuspect reports whether the run may have crashed its worker: it had just started when
+// the worker was last certainly running, or the call to start it broke off. A start that
+// only had no answer in time may not have reached the worker yet.
 func (r *run) isSuspect() bool {
-	if r.adopted {
+	switch {
+	case r.adopted:
 		return false
+	case r.confirmedAt.IsZero():
+		return r.startBroke
+	default:
+		return r.worker.aliveAt.Sub(r.startedAt) < suspectTime
 	}
-	return r.confirmedAt.IsZero() || r.worker.aliveAt.Sub(r.startedAt) < suspectTime
 }
 
 // recordCrash charges the crash of a worker to the tasks that may have caused it, and
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -256,8 +256,10 @@
 		confirmedAt time.Time
 		// adopted is set if another owner has started the run.
 		adopted bool
-		// unanswered is set when a start order got no response.
+		// unanswered is set when a start order got no response, startBroke if the
+		// latest one broke off before its timeout.
 		unanswered   bool
+		startBroke   bool
 		sentAt       time.Time
 		startedAt    time.Time
 		startPending bool
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -92,6 +92,9 @@
 	// brokenHoldTime is the time without a response after which a hold has certainly
 	// reached a running worker.
 	brokenHoldTime = 50 * time.Millisecond
+	// brokenStartTime is the time within which a start fails whose connection broke. One
+	// without an answer fails after orderTimeout.
+	brokenStartTime = orderTimeout - 200*time.Millisecond
 	// maxPendingStarts bounds the number of unanswered starts per worker.
 	maxPendingStarts = 16
 	// noRoomBackoff is how long a worker that had no room gets no starts.
@@ -405,7 +408,7 @@
 		return
 	}
 	if refusal == "" {
-		r.unanswered = true
+		r.unanswered, r.startBroke = true, now.Sub(r.sentAt) < brokenStartTime
 		r.worker.unsettledRuns++
 		return
 	}
