--- /dev/null
+++ b/review/rig/cases.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// unnotedBatch: the owner is killed while the store is slow, and killed again later.
+func unnotedBatch(w *world) error {
+	if err := w.setUp(12, 3); err != nil {
+		return err
+	}
+	d, err := w.owner()
+	if err != nil {
+		return err
+	}
+	// Rows to load, as of some seconds of traffic.
+	for range 20 {
+		w.client.submit(d, newID(), submission(50*time.Millisecond, step(1, 50*time.Millisecond)))
+	}
+	time.Sleep(time.Second)
+	if w.trouble {
+		w.note("the store is slow")
+		w.front.setSlow(260*time.Millisecond, 390*time.Millisecond)
+		time.AfterFunc(4500*time.Millisecond, func() {
+			w.front.setSlow(0, 0)
+			w.note("the store is as fast as before")
+		})
+	}
+	if err := w.restart(d); err != nil {
+		return err
+	}
+	accepted := w.submitAtRate(4*time.Second, 32*time.Millisecond, submission(60*time.Second, step(2, 60*time.Second)))
+	w.note("%d submissions were accepted meanwhile", len(accepted))
+	time.Sleep(4 * time.Second)
+	if d, err = w.owner(); err != nil {
+		return err
+	}
+	if err := w.restart(d); err != nil {
+		return err
+	}
+	time.Sleep(8 * time.Second)
+	lost := 0
+	for id, at := range accepted {
+		status, _ := w.client.state(d, id)
+		if status == 410 && time.Since(at) > visible {
+			lost++
+		}
+	}
+	if len(accepted) == 0 {
+		return errors.New("no submission was accepted")
+	}
+	if lost > 0 {
+		return &brokenError{fmt.Sprintf("LOST: %d of %d accepted submissions are unknown", lost, len(accepted))}
+	}
+	return nil
+}
+
+// restart kills a daemon, which starts again after half a second, unless there is no
+// trouble.
+func (w *world) restart(d *daemon) error {
+	if !w.trouble {
+		return nil
+	}
+	d.kill()
+	time.Sleep(500 * time.Millisecond)
+	return d.start()
+}
+
+// largeRow: a recurring submission with many occurrences comes in.
+func largeRow(w *world) error {
+	if err := w.setUp(12, 3); err != nil {
+		return err
+	}
+	if w.trouble {
+		recurring := submission(10*time.Millisecond, step(1, 10*time.Millisecond))
+		recurring["repeatCount"], recurring["intervalMs"] = 8000, 15
+		recurring["startAtMs"] = time.Now().Add(time.Second).UnixMilli()
+		if !w.client.submitUntil(newID(), recurring, 5) {
+			return errors.New("the recurring submission was not accepted")
+		}
+	}
+	accepted := w.submitAtRate(45*time.Second, 200*time.Millisecond, submission(500*time.Millisecond, step(2, 500*time.Millisecond)))
+	w.note("the traffic ends; %d submissions were accepted", len(accepted))
+	time.Sleep(finish)
+	return w.checkCompleted(accepted)
+}
+
+// idleTime is how long a submission with a task whose turn has come may have nothing
+// running.
+const idleTime = 3 * time.Second
+
+// checkCompleted asks for submissions after the end of the traffic, and looks whether
+// something runs of those that have not ended. The workers are idle then, but for what
+// these submissions need.
+func (w *world) checkCompleted(accepted map[string]time.Time) error {
+	if len(accepted) == 0 {
+		return errors.New("no submission was accepted")
+	}
+	var unknown, unanswered int
+	var open []string
+	for id := range accepted {
+		status, state := w.stateAnywhere(id)
+		switch {
+		case status == 410:
+			unknown++
+		case status != 200:
+			unanswered++
+		case state != "completed":
+			open = append(open, id)
+		}
+		if unanswered >= 3 {
+			break
+		}
+	}
+	idle := w.idle(open)
+	if unknown+unanswered+idle > 0 {
+		return &brokenError{fmt.Sprintf("LOST: of %d accepted submissions %d are unknown, %d or more get no answer, %d have not ended and nothing of them runs for %s",
+			len(accepted), unknown, unanswered, idle, idleTime)}
+	}
+	return nil
+}
+
+// stateAnywhere asks the daemons for a state until one of them answers.
+func (w *world) stateAnywhere(id string) (status int, state string) {
+	for _, d := range w.daemons {
+		if status, state = w.client.state(d, id); status == 200 || status == 410 {
+			break
+		}
+	}
+	return status, state
+}
+
+// idle returns the number of submissions of which nothing runs for idleTime.
+func (w *world) idle(ids []string) int {
+	ran := make(map[string]bool)
+	for until := time.Now().Add(idleTime + 500*time.Millisecond); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		for _, id := range ids {
+			ran[id] = ran[id] || w.runs(id)
+		}
+	}
+	n := 0
+	for _, id := range ids {
+		if !ran[id] {
+			n++
+			w.note("nothing of %s runs for %s; %d tasks are done", id, idleTime, w.tasksDone(id))
+		}
+	}
+	return n
+}
+
+// routeRemoved: a config removes the route of submissions that were accepted.
+func routeRemoved(w *world) error {
+	if err := w.setUp(6, 3); err != nil {
+		return err
+	}
+	second := step(2, time.Second)
+	second[names.After] = []int{0}
+	accepted := make(map[string]time.Time)
+	for i := range 6 {
+		id := newID()
+		if w.client.submit(w.daemons[i%3], id, submission(time.Second, step(2, time.Second), second)) == 200 {
+			accepted[id] = time.Now()
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	var removed []string
+	if w.trouble {
+		removed = append(removed, queueName)
+	}
+	if err := w.configure(2, removed...); err != nil {
+		return err
+	}
+	time.Sleep(finish)
+	var open []string
+	for id := range accepted {
+		w.client.state(w.daemons[0], id)
+		if w.tasksDone(id) < 4 {
+			open = append(open, id)
+		}
+	}
+	if n := w.idle(open); n > 0 {
+		return &brokenError{fmt.Sprintf("LOST: of %d accepted submissions %d have tasks left and nothing of them runs for %s", len(accepted), n, idleTime)}
+	}
+	return nil
+}
+
+// lostAfterRestart: a worker is cut off, restarts behind the cut, and is lost for good.
+func lostAfterRestart(w *world) error {
+	if err := w.setUp(4, 3); err != nil {
+		return err
+	}
+	v := w.workers[0]
+	if w.trouble {
+		time.AfterFunc(3*time.Second, func() { v.setCut(true) })
+		time.AfterFunc(5*time.Second, func() { v.crash() })
+		time.AfterFunc(5500*time.Millisecond, func() {
+			if err := v.boot(); err != nil {
+				w.note("%s", err)
+			}
+		})
+		time.AfterFunc(8*time.Second, func() { v.lose() })
+	}
+	// Each submission has a task for each worker.
+	spread := step(len(w.workers), 300*time.Millisecond)
+	spread[names.MaxPerWorker] = 1
+	accepted := w.submitAtRate(9*time.Second, 150*time.Millisecond, submission(300*time.Millisecond, spread))
+	w.note("the traffic ends; %d submissions were accepted", len(accepted))
+	time.Sleep(finish)
+	return w.checkCompleted(accepted)
+}
+
+// farFuture: submissions come that can never be done, since they are due in some thousand years.
+func farFuture(w *world) error {
+	if err := w.setUp(6, 3); err != nil {
+		return err
+	}
+	if w.trouble {
+		go func() {
+			for range 4 {
+				s := submission(300*time.Millisecond, step(1, 300*time.Millisecond))
+				s["repeatCount"], s["intervalMs"], s["startAtMs"] = 1, 1000, time.Now().UnixMicro()
+				id := newID()
+				go w.client.submitUntil(id, s, 5)
+				time.Sleep(5 * time.Second)
+			}
+		}()
+	}
+	accepted := w.submitAtRate(20*time.Second, 100*time.Millisecond, submission(300*time.Millisecond, step(2, 300*time.Millisecond)))
+	w.note("the traffic ends; %d submissions were accepted", len(accepted))
+	time.Sleep(finish)
+	return w.checkCompleted(accepted)
+}
--- /dev/null
+++ b/review/rig/front.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// storeFront is the store as the daemons see it. It passes their calls to the store and
+// adds what that lacks: the limit on the size of a row's value, which makes the store
+// refuse the whole transaction, and answers that take longer while the store is slow.
+type storeFront struct {
+	address string
+	note    func(format string, args ...any)
+	client  fasthttp.HostClient
+
+	mu sync.Mutex
+	// slow is how long a call takes.
+	slow, slowTx time.Duration
+	// refused counts the transactions with a value that is too large.
+	refused int
+}
+
+// Limits of the store, see the settings of a process: a value has at most rowBytes
+// before it is encoded.
+const (
+	rowBytes    = 65536
+	feedTimeout = 40 * time.Second
+)
+
+func newStoreFront(store string, note func(string, ...any)) (*storeFront, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f := &storeFront{address: l.Addr().String(), note: note, client: fasthttp.HostClient{Addr: store, MaxConns: 1000}}
+	go func() { _ = (&fasthttp.Server{Handler: f.serve, NoDefaultDate: true}).Serve(l) }()
+	return f, nil
+}
+
+// setSlow sets how long reads and transactions take.
+func (f *storeFront) setSlow(read, tx time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.slow, f.slowTx = read, tx
+}
+
+func (f *storeFront) refusals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refused
+}
+
+func (f *storeFront) serve(ctx *fasthttp.RequestCtx) {
+	f.mu.Lock()
+	delay := f.slow
+	if ctx.IsPost() {
+		delay = f.slowTx
+	}
+	f.mu.Unlock()
+	if ctx.IsPost() && hasLargeValue(ctx.PostBody()) {
+		f.mu.Lock()
+		f.refused++
+		f.mu.Unlock()
+		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+		f.note("commit refused, a value is too large: %s", describe(ctx.PostBody()))
+		return
+	}
+	begun := time.Now()
+	time.Sleep(delay)
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	ctx.Request.CopyTo(req)
+	req.Header.SetHost(f.client.Addr)
+	if err := f.client.DoTimeout(req, &ctx.Response, feedTimeout); err != nil {
+		ctx.Response.Reset()
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+	if ctx.IsPost() {
+		f.note("commit after %d ms: %s -> %d", time.Since(begun).Milliseconds(), describe(ctx.PostBody()), ctx.Response.StatusCode())
+	}
+}
+
+// hasLargeValue reports whether a body contains a text that is longer than the largest
+// value in base64.
+func hasLargeValue(body []byte) bool {
+	const limit = (rowBytes + 2) / 3 * 4
+	if len(body) <= limit {
+		return false
+	}
+	var v any
+	if json.Unmarshal(body, &v) != nil {
+		return false
+	}
+	return hasLongText(v, limit)
+}
+
+func hasLongText(v any, limit int) bool {
+	switch v := v.(type) {
+	case string:
+		return len(strings.TrimRight(v, "=")) > limit
+	case []any:
+		for _, e := range v {
+			if hasLongText(e, limit) {
+				return true
+			}
+		}
+	case map[string]any:
+		for _, e := range v {
+			if hasLongText(e, limit) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// describe returns what a transaction writes: the head of the shard and the number of
+// other rows.
+func describe(body []byte) string {
+	var t struct {
+		Writes []struct {
+			Table string
+			Value []byte
+		}
+	}
+	if json.Unmarshal(body, &t) != nil || len(t.Writes) == 0 {
+		return "unreadable"
+	}
+	var head struct {
+		Epoch, Number uint64
+		Owner         string
+	}
+	if json.Unmarshal(t.Writes[0].Value, &head) != nil {
+		return "unreadable"
+	}
+	return fmt.Sprintf("epoch %d, number %d, %d rows beside the head, by %s", head.Epoch, head.Number, len(t.Writes)-1, head.Owner)
+}
