review: tasks run again when a worker has more than 500 ends that aren't noted

applyReport (guavaqueue/workers.go) takes a run that a report doesn't list for lost. A report lists 500 ends at most; while the store is down none are acknowledged, and the tasks whose ends are further on are started again and again.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." && exec review/bin/rig large-row target/guavascaled review/2/record.txt
+cd "$(dirname "$0")/../.." && exec review/bin/rig many-ends target/guavascaled review/2/record.txt
--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -232,3 +232,66 @@
 	time.Sleep(finish)
 	return w.checkCompleted(accepted)
 }
+
+// deadlyTask: a task crashes each worker that starts it.
+func deadlyTask(w *world) error {
+	if err := w.setUp(6, 3); err != nil {
+		return err
+	}
+	deadly := newID()
+	if w.trouble {
+		w.deadly.Store(&deadly)
+	}
+	if !w.client.submitUntil(deadly, submission(300*time.Millisecond, step(1, 300*time.Millisecond)), 5) {
+		return errors.New("the submission was not accepted")
+	}
+	w.submitAtRate(60*time.Second, time.Second, submission(300*time.Millisecond, step(2, 300*time.Millisecond)))
+	w.client.state(w.daemons[0], deadly)
+	crashed := make(map[string]bool)
+	starts := 0
+	for _, id := range w.deadlyStarts() {
+		if len(crashed) >= crashedWorkers {
+			starts++
+		}
+		crashed[id] = true
+	}
+	if starts >= startsAfterCrashes {
+		return &brokenError{fmt.Sprintf("BUDGET: the task was started %d times more after %d workers had crashed under it", starts, crashedWorkers)}
+	}
+	return nil
+}
+
+// A task is started less than startsAfterCrashes times after crashedWorkers workers have
+// crashed under it.
+const (
+	crashedWorkers     = 3
+	startsAfterCrashes = 3
+)
+
+// manyEnds: the store is down while workers end many short tasks.
+func manyEnds(w *world) error {
+	if err := w.setUp(2, 3); err != nil {
+		return err
+	}
+	short := map[string]any{"count": 2400, "cpu": 333, "memMb": 128, "estimateMs": 200}
+	id := newID()
+	if !w.client.submitUntil(id, submission(200*time.Millisecond, short), 5) {
+		return errors.New("the submission was not accepted")
+	}
+	if w.trouble {
+		w.front.setDown(true)
+		time.AfterFunc(4500*time.Millisecond, func() { w.front.setDown(false) })
+	}
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(time.Second) {
+		if _, state := w.client.state(w.daemons[0], id); state == "completed" {
+			break
+		}
+	}
+	time.Sleep(3 * time.Second)
+	again := w.startedAgain()
+	w.note("%d tasks were started again", len(again))
+	if len(again) > 0 {
+		return &brokenError{fmt.Sprintf("TWICE: %d tasks were started again after a run of them had ended as done, as %s", len(again), again[0])}
+	}
+	return nil
+}
--- a/review/rig/front.go
+++ b/review/rig/front.go
@@ -22,8 +22,8 @@
 	mu sync.Mutex
 	// slow is how long a call takes.
 	slow, slowTx time.Duration
-	// refused counts the transactions with a value that is too large.
-	refused int
+	// down is set while the store refuses all calls.
+	down bool
 }
 
 // Limits of the store, see the settings of a process: a value has at most rowBytes
@@ -50,23 +50,26 @@
 	f.slow, f.slowTx = read, tx
 }
 
-func (f *storeFront) refusals() int {
+// setDown makes the store refuse all calls, or serve them again.
+func (f *storeFront) setDown(down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.refused
+	f.down = down
+	f.note("the store refuses all calls: %v", down)
 }
 
 func (f *storeFront) serve(ctx *fasthttp.RequestCtx) {
 	f.mu.Lock()
-	delay := f.slow
+	delay, down := f.slow, f.down
 	if ctx.IsPost() {
 		delay = f.slowTx
 	}
 	f.mu.Unlock()
+	if down {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	if ctx.IsPost() && hasLargeValue(ctx.PostBody()) {
-		f.mu.Lock()
-		f.refused++
-		f.mu.Unlock()
 		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
 		f.note("commit refused, a value is too large: %s", describe(ctx.PostBody()))
 		return
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -23,6 +23,8 @@
 	"large-row":          largeRow,
 	"route-removed":      routeRemoved,
 	"lost-after-restart": lostAfterRestart,
+	"deadly-task":        deadlyTask,
+	"many-ends":          manyEnds,
 	"far-future":         farFuture,
 }
 
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -26,7 +27,7 @@
 		registry        guavastandin.Store
 		registryAddress string
 		proxyAddress    string
-		target          string
+		target          *fasthttp.HostClient
 
 		mu sync.Mutex
 		// cut is set while calls get no answer.
@@ -65,7 +66,7 @@
 	n := len(w.workers)
 	v := &worker{w: w, running: make(map[string]bool)}
 	v.Worker = guavastandin.Worker{
-		ID: fmt.Sprintf("i-%010x", 0x31b174c200+n), Zone: zones[n%len(zones)], Service: service, MilliCores: 16_000, MemoryMB: 62_500,
+		ID: workerID(n), Zone: zones[n%len(zones)], Service: service, MilliCores: 16_000, MemoryMB: 62_500,
 		LeaseMax: holdMaxMs * time.Millisecond, StopTime: 100 * time.Millisecond, Store: &v.registry, Checker: w.checker,
 	}
 	var err error
@@ -93,6 +94,20 @@
 	return v.publish()
 }
 
+// rebirth starts a new worker on the same host, under another id.
+func (v *worker) rebirth() error {
+	if err := v.registry.Put("servers", v.ID, nil); err != nil {
+		return err
+	}
+	v.w.mu.Lock()
+	v.w.lives++
+	v.ID = workerID(len(v.w.workers) + v.w.lives)
+	v.w.mu.Unlock()
+	return v.boot()
+}
+
+func workerID(n int) string { return fmt.Sprintf("i-%010x", 0x31b174c200+n) }
+
 // publish copies the entry of the worker to the store of the daemons.
 func (v *worker) publish() error {
 	resp, err := http.Get("http://" + v.registryAddress + names.WorkerRows)
@@ -115,7 +130,7 @@
 		return err
 	}
 	v.mu.Lock()
-	v.target = entry["address"].(string)
+	v.target = &fasthttp.HostClient{Addr: entry["address"].(string), MaxConns: 100}
 	v.mu.Unlock()
 	entry["address"] = v.proxyAddress
 	v.w.note("worker %s registers, %v", v.ID, entry["state"])
@@ -161,16 +176,18 @@
 		v.drop(ctx)
 		return
 	}
+	if v.startsDeadly(ctx) {
+		v.drop(ctx)
+		return
+	}
 	v.mu.Lock()
 	target := v.target
 	v.mu.Unlock()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	ctx.Request.CopyTo(req)
-	req.SetRequestURI("http://" + target + string(ctx.Path()))
-	req.Header.SetHost(target)
-	client := fasthttp.Client{}
-	err := client.DoTimeout(req, &ctx.Response, workerCall)
+	req.Header.SetHost(target.Addr)
+	err := target.DoTimeout(req, &ctx.Response, workerCall)
 	if v.isCut() {
 		v.drop(ctx)
 		return
@@ -181,9 +198,34 @@
 		ctx.Hijack(func(net.Conn) {})
 		return
 	}
+	if strings.HasSuffix(string(ctx.Path()), "hold") {
+		v.limitEnds(ctx)
+	}
 	v.observe(ctx)
 }
 
+// maxEnds is the number of ends that a worker lists at a time.
+const maxEnds = 500
+
+// limitEnds shortens the list of ends in an answer to the first maxEnds.
+func (v *worker) limitEnds(ctx *fasthttp.RequestCtx) {
+	answer := make(map[string]json.RawMessage)
+	var ended []json.RawMessage
+	if json.Unmarshal(ctx.Response.Body(), &answer) != nil || json.Unmarshal(answer["ended"], &ended) != nil || len(ended) <= maxEnds {
+		return
+	}
+	v.w.note("worker %s lists %d of %d ends", v.ID, maxEnds, len(ended))
+	var err error
+	if answer["ended"], err = json.Marshal(ended[:maxEnds]); err != nil {
+		panic(err) // Impossible: the list was part of the answer.
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		panic(err) // Impossible, for the same reason.
+	}
+	ctx.Response.SetBody(body)
+}
+
 // drop leaves a call without an answer.
 func (v *worker) drop(ctx *fasthttp.RequestCtx) {
 	ctx.HijackSetNoResponse(true)
@@ -207,6 +249,7 @@
 		v.w.note("worker %s: %s of %s run %d -> %d %s", v.ID, path[strings.LastIndexAny(path, "/-")+1:], o.Task, o.Attempt,
 			ctx.Response.StatusCode(), rep.Reason)
 		if strings.HasSuffix(path, "start") && ctx.Response.StatusCode() == fasthttp.StatusOK {
+			v.w.recordStart(o)
 			v.mu.Lock()
 			v.running[o.Task] = true
 			v.mu.Unlock()
@@ -226,7 +269,7 @@
 		if number := e[0].(float64); number > v.lastEnd {
 			v.lastEnd = number
 			if e[3] == "done" {
-				v.w.recordDone(e[1].(string))
+				v.w.recordDone(orderBody{e[1].(string), int64(e[2].(float64))})
 			}
 			v.w.note("worker %s: %s run %v has ended, %v", v.ID, e[1], e[2], e[3])
 		}
@@ -254,13 +297,32 @@
 	return false
 }
 
-func (w *world) recordDone(task string) {
+func (w *world) recordStart(o orderBody) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.done == nil {
-		w.done = make(map[string]bool)
+	w.starts[o.Task] = append(w.starts[o.Task], o.Attempt)
+}
+
+func (w *world) recordDone(o orderBody) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.done[o.Task] == 0 {
+		w.done[o.Task] = o.Attempt
 	}
-	w.done[task] = true
+}
+
+// startedAgain returns the tasks of which a run has ended as done and a later one was
+// started.
+func (w *world) startedAgain() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var tasks []string
+	for task, attempt := range w.done {
+		if slices.ContainsFunc(w.starts[task], func(a int64) bool { return a > attempt }) {
+			tasks = append(tasks, task)
+		}
+	}
+	return tasks
 }
 
 // tasksDone returns how many tasks of a submission have ended as done.
@@ -275,3 +337,45 @@
 	}
 	return n
 }
+
+// downTime is how long a worker is down after a crash.
+const downTime = 3 * time.Second
+
+// startsDeadly reports whether a call starts the deadly task. If so, the worker's host
+// goes down with it, without a word, and is back after downTime.
+func (v *worker) startsDeadly(ctx *fasthttp.RequestCtx) bool {
+	deadly := v.w.deadly.Load()
+	if deadly == nil || !strings.HasSuffix(string(ctx.Path()), "start") {
+		return false
+	}
+	var o orderBody
+	_ = json.Unmarshal(ctx.PostBody(), &o)
+	if !strings.HasPrefix(o.Task, *deadly+".") {
+		return false
+	}
+	v.w.note("worker %s: start of %s run %d, which takes the host down", v.ID, o.Task, o.Attempt)
+	v.w.mu.Lock()
+	v.w.deadlyWorkers = append(v.w.deadlyWorkers, v.ID)
+	v.w.mu.Unlock()
+	v.setCut(true)
+	v.crash()
+	old := v.ID
+	time.AfterFunc(downTime, func() {
+		v.setCut(false)
+		if err := v.rebirth(); err != nil {
+			v.w.note("%s", err)
+		}
+	})
+	time.AfterFunc(3*heartbeat, func() {
+		v.w.note("the platform removes the entry of %s", old)
+		_ = v.w.store.Put("servers", old, nil)
+	})
+	return true
+}
+
+// deadlyStarts returns the workers that the deadly task was started on, in order.
+func (w *world) deadlyStarts() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.deadlyWorkers...)
+}
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,8 +35,16 @@
 		began  time.Time
 		mu     sync.Mutex
 		record *os.File
-		// done holds the tasks of which a run has ended as done.
-		done map[string]bool
+		// lives counts the workers that have replaced others.
+		lives int
+		// deadly is the submission whose task crashes each worker that starts it, and
+		// deadlyWorkers the workers that have crashed under it, in order.
+		deadly        atomic.Pointer[string]
+		deadlyWorkers []string
+		// starts holds the numbers of the runs of each task, and done the number of the
+		// first run that has ended as done.
+		starts map[string][]int64
+		done   map[string]int64
 	}
 
 	// daemon is a process of the system.
@@ -88,7 +97,7 @@
 	}
 	w := &world{
 		trouble: trouble, program: program, dir: dir, store: &guavastandin.Store{}, checker: &guavastandin.Checker{},
-		began: time.Now(), record: record,
+		began: time.Now(), record: record, starts: make(map[string][]int64), done: make(map[string]int64),
 	}
 	w.client.w = w
 	address, err := w.store.Listen()
