--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." && exec review/bin/rig deadly-task target/guavascaled review/4/record.txt
+cd "$(dirname "$0")/../.." && exec review/bin/rig route-replaced target/guavascaled review/4/record.txt
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." && exec review/bin/rig lost-after-restart target/guavascaled review/5/record.txt
+cd "$(dirname "$0")/../.." && exec review/bin/rig deadly-task target/guavascaled review/5/record.txt
