review: the scripts of the cases read TROUBLE themselves

Each run.sh left TROUBLE to review/rig, which reads it from the environment. It now sets the default and passes it on; what is played stays as it was.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,6 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." && exec review/bin/rig deadly-task target/guavascaled review/5/record.txt
+# Plays the case. With TROUBLE=0 it does the same without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+TROUBLE="${TROUBLE:-1}"
+export TROUBLE
+exec review/bin/rig deadly-task target/guavascaled review/5/record.txt
