guavaqueue: the log explains work that waits beside free room

The log could not tell wrong verdicts on pairs from a placement that leaves no room: it had no waiting work by kind, no reason and no evidence for a pair.

Each 2 s the owner writes the waiting work that has had no start for 2 s and whose step fits twice over, with the workers by what keeps it off them; a gauge counts it. PairExcluded tells the latency and the fillers behind a verdict. The outcome of a commit read from the head and a heartbeat given up during a load are logged.

No decision changes.

--- a/guavaqueue/dump.go
+++ b/guavaqueue/dump.go
@@ -19,6 +19,7 @@
 		MissingWorkers []guavascale.WorkerID `json:",omitempty"`
 		MissingForMs   int64                 `json:",omitempty"`
 		Apart          []string              `json:",omitempty"`
+		Backlogs       []Backlog             `json:",omitempty"`
 		Workers        []WorkerDump
 		Waiting        []StepDump
 	}
@@ -62,7 +63,7 @@
 
 // Dump returns a snapshot of the engine's state.
 func (e *Engine) Dump(now time.Time) Dump {
-	d := Dump{Token: e.Token, Stats: e.Stats(now), Apart: e.Apart()}
+	d := Dump{Token: e.Token, Stats: e.Stats(now), Apart: e.Apart(), Backlogs: e.Backlogs(now)}
 	if e.catalog != nil {
 		d.CatalogVersion = e.catalog.Version
 	}
--- a/guavaqueue/events.go
+++ b/guavaqueue/events.go
@@ -28,7 +28,8 @@
 		// Value is the measurement behind the decision, such as a latency as a
 		// fraction of its target, a percentage of progress, or a count of failures
 		// or runs. For EventFillerPreempted, EventStraggler and EventCrash, Reason names
-		// it.
+		// it. For EventPairExcluded it is the latency, and Reason names the service
+		// kind, the filler kind and all filler kinds on the worker.
 		Value float64
 	}
 )
@@ -48,6 +49,8 @@
 	EventWorker          EventKind = "Worker"
 	// EventCrash is a worker that has probably crashed under a run.
 	EventCrash EventKind = "WorkerCrashed"
+	// EventPairExcluded is a filler kind that may no longer run beside a service kind.
+	EventPairExcluded EventKind = "PairExcluded"
 )
 
 // maxEvents bounds the number of buffered events. Further events are only
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -208,6 +208,9 @@
 		// urgency, priority and latest are the sort key of waiting steps.
 		urgency, priority int
 		latest            time.Time
+		// waitingSince is when the step was first seen with waiting tasks, or the time of
+		// its latest start after that.
+		waitingSince time.Time
 	}
 
 	task struct {
--- a/guavaqueue/interfere.go
+++ b/guavaqueue/interfere.go
@@ -1,6 +1,7 @@
 package guavaqueue
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -175,8 +176,9 @@
 
 // recordDisturbed raises the probabilities of the fillers beside a disturbed
 // service. Each one's share grows with the square of its probability, so that
-// one likely cause leaves little for the others.
-func (p *interferenceModel) recordDisturbed(now time.Time, service string, fillers []string) {
+// one likely cause leaves little for the others. It returns the fillers that are excluded
+// from now on.
+func (p *interferenceModel) recordDisturbed(now time.Time, service string, fillers []string) (excluded []string) {
 	sum := 0.0
 	for _, f := range fillers {
 		v := p.probability(service, f)
@@ -189,8 +191,10 @@
 		if v.probability >= exclusionThreshold && !wasExcluded {
 			v.exclusions++
 			v.retryAt = now.Add(v.exclusionTime())
+			excluded = append(excluded, f)
 		}
 	}
+	return excluded
 }
 
 // recordUndisturbed lowers the probabilities of the fillers beside a service
@@ -236,7 +240,12 @@
 		ratio := worst.latencyRatio()
 		switch {
 		case ratio > disturbedRatio && notFalling:
-			e.interference.recordDisturbed(now, l.Kind, settled)
+			for _, filler := range e.interference.recordDisturbed(now, l.Kind, settled) {
+				e.emit(Event{
+					Kind: EventPairExcluded, Submission: worst.id.Task.Submission, Run: worst.id, Worker: w.ID,
+					Reason: fmt.Sprintf("%s/%s of %v", l.Kind, filler, settled), Value: ratio, Age: now.Sub(worst.startedAt),
+				})
+			}
 		case ratio < undisturbedRatio:
 			e.interference.recordUndisturbed(l.Kind, settled)
 		}
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -132,6 +132,9 @@
 }
 
 func (e *Engine) placeStep(now time.Time, st *step) {
+	if st.waitingSince.IsZero() {
+		st.waitingSince = now
+	}
 	q := e.queue(st.sub)
 	if q == nil || !st.sub.durable || st.sub.state.Ended() {
 		return
--- a/guavascheduler/load.go
+++ b/guavascheduler/load.go
@@ -52,6 +52,10 @@
 			if errors.As(err, &lost) {
 				return nil, err
 			}
+			if err != nil {
+				t.scheduler.Log.Warn().Uint64("Epoch", t.chain.Epoch).Uint64("Number", t.chain.Number).Err(err).
+					Msg("scheduler: a heartbeat during the load was given up")
+			}
 		}
 	}
 }
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -229,6 +229,7 @@
 		t.scheduler.meters.stats(stats)
 		t.load.write(now, t.scheduler.Log.Info()).Int("Relays", t.hub.Relays()).Interface("Stats", stats).Dur("CommitAgeMs", t.commitAge(now)).
 			Strs("Apart", t.engine.Apart()).Msg("scheduler: state of the shard")
+		t.reportBacklogs(now)
 	}
 	may := guavaqueue.Permissions{
 		Act: t.canIssueOrders(now) && !leaving, Start: t.canStartRuns(now), Sole: t.canServeReads(now),
@@ -260,6 +261,18 @@
 	}
 }
 
+// reportBacklogs logs and counts the tasks that wait although there is room for them.
+func (t *term) reportBacklogs(now time.Time) {
+	backlogs, waiting := t.engine.Backlogs(now), 0
+	for i := range backlogs {
+		waiting += backlogs[i].Tasks
+	}
+	t.scheduler.meters.gauge("shard.waiting-with-room", int64(waiting))
+	if waiting > 0 {
+		t.scheduler.Log.Info().Int("Tasks", waiting).Interface("Backlogs", backlogs).Msg("scheduler: work waits while there is room")
+	}
+}
+
 // commit writes a batch, or only the head row if b is nil, in the background
 // and retries until the outcome is known.
 func (t *term) commit(ctx context.Context, b *guavaqueue.Batch, leave bool) {
@@ -309,6 +322,8 @@
 			continue
 		}
 		applied, err := t.chain.Resolve(h, version)
+		t.scheduler.Log.Info().Uint64("Epoch", h.Epoch).Uint64("Number", h.Number).Bool("Applied", applied).AnErr("Error", err).
+			Msg("scheduler: the outcome of a commit was read from the head")
 		return applied, err
 	}
 	return false, ctx.Err()
