guavaqueue: services move so that fillers find workers without any

Cause: services are placed where there is room at the time. They come while other tasks fill the workers, and once these have ended, services of 840 cores, which 24 workers could hold, stand on 43 of 48. Kinds of fillers that disturb every kind of service share the five others. Class: a scarce kind of room is given away once, and the decision is never looked at again.

While fillers wait that the workers without services can't take, the services of one worker after another move to workers that hold services already, within each step's MaxAway. guavavacancy chooses the worker, as a function of the pool and the demand. Services avoid a vacated worker for some time. waitingSince ends with the waiting, so that a service that ends later doesn't count as a backlog.

Failed before: TestScatteredServicesDoNotStarveFillers, none of ten submissions completed.

--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -105,6 +105,7 @@
 		droppedEvents       int
 		kindsWrittenAt      time.Time
 		stragglersCheckedAt time.Time
+		vacatedAt           time.Time
 		nextExpiry          time.Time
 	}
 
@@ -209,7 +210,7 @@
 		urgency, priority int
 		latest            time.Time
 		// waitingSince is when the step was first seen with waiting tasks, or the time of
-		// its latest start after that.
+		// its latest start after that; zero while no task waits.
 		waitingSince time.Time
 	}
 
@@ -363,6 +364,9 @@
 		// missedSince is the time since which a service on the worker has missed
 		// its target.
 		missedSince time.Time
+		// vacatedUntil is the time until which services avoid the worker, since its
+		// services were moved away for waiting fillers.
+		vacatedUntil time.Time
 		// loadsBuf holds the result of loads while loadsValid is set.
 		loadsBuf   []kindLoad
 		loadsValid bool
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -143,6 +143,9 @@
 		e.reserveWorkers()
 		e.place(now)
 		e.replaceStragglers(now)
+		if may.Sole {
+			e.vacate(now)
+		}
 	}
 	e.holdOffset++
 	for i := range e.workerList {
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -59,7 +59,7 @@
 		if st.waiting > 0 && !st.sub.state.Ended() {
 			kept = append(kept, st)
 		} else {
-			st.queued = false
+			st.queued, st.waitingSince = false, time.Time{}
 		}
 	}
 	clear(e.readySteps[len(kept):])
@@ -318,6 +318,9 @@
 		if w.serviceMilliCores == 0 && w.pool.spare <= 0 {
 			score -= reservePenalty
 		}
+		if now.Before(w.vacatedUntil) {
+			score -= reservePenalty
+		}
 	case st.spec.Filler:
 		// Fillers get the processors that other tasks declare but don't use.
 		taken := float64(w.used.MilliCores-w.serviceMilliCores+w.fillerMilliCores+st.spec.Size.MilliCores) + serviceUsageShare*float64(w.serviceMilliCores)
--- /dev/null
+++ b/guavaqueue/vacate.go
@@ -0,0 +1,117 @@
+package guavaqueue
+
+import (
+	"fmt"
+	"time"
+
+	"guavascale.example/guavavacancy"
+)
+
+const (
+	// vacateInterval is the minimum time between two workers that are vacated.
+	vacateInterval = 400 * time.Millisecond
+	// vacateAfter is how long fillers wait before services move for them.
+	vacateAfter = 2 * time.Second
+	// vacatedTime is how long services avoid a worker that was vacated.
+	vacatedTime = 10 * time.Second
+	// maxMoving bounds the services of a pool that are starting or stopping. Each of them
+	// needs the processors and the owner's time that others wait for.
+	maxMoving = 8
+)
+
+// vacate moves the services of a worker to others if fillers wait for a worker without
+// services.
+func (e *Engine) vacate(now time.Time) {
+	if now.Sub(e.vacatedAt) < vacateInterval {
+		return
+	}
+	e.vacatedAt = now
+	demands := make(map[*pool]map[string]int64)
+	for _, st := range e.readySteps {
+		q := e.queue(st.sub)
+		if q == nil || !st.spec.Filler || st.waiting == 0 || now.Sub(st.waitingSince) < vacateAfter {
+			continue
+		}
+		p := e.pool(q.Service)
+		if demands[p] == nil {
+			demands[p] = make(map[string]int64)
+		}
+		demands[p][st.spec.Kind] += int64(st.waiting) * st.spec.Size.MilliCores
+	}
+	for p, milliCores := range demands {
+		if e.movingServices(p) >= maxMoving {
+			continue
+		}
+		var list []guavavacancy.Demand
+		for kind, waiting := range milliCores {
+			list = append(list, guavavacancy.Demand{MilliCores: waiting, Excluded: e.excludedServices(now, kind)})
+		}
+		workers := make([]guavavacancy.Worker, len(p.candidates))
+		for i, w := range p.candidates {
+			workers[i] = w.vacancy(now)
+		}
+		if i := guavavacancy.Choose(workers, list); i >= 0 {
+			e.vacateWorker(now, p.candidates[i])
+		}
+	}
+}
+
+// movingServices counts the services of a pool that are starting or stopping.
+func (e *Engine) movingServices(p *pool) int {
+	n := 0
+	for _, w := range p.candidates {
+		if w.serviceMilliCores == 0 {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.task.step.spec.Service && r.phase != phaseRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// vacancy returns the input of package guavavacancy for the worker.
+func (w *worker) vacancy(now time.Time) guavavacancy.Worker {
+	v := guavavacancy.Worker{
+		ID: w.ID, Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity.Sub(w.used), Fixed: now.Before(w.vacatedUntil),
+	}
+	if w.serviceMilliCores == 0 {
+		return v
+	}
+	for _, r := range w.runs {
+		st := r.task.step
+		if !st.spec.Service {
+			continue
+		}
+		v.Services = append(v.Services, guavavacancy.Service{
+			Kind: st.spec.Kind, Size: st.spec.Size, Step: fmt.Sprintf("%s.%d.%d", st.sub.ID, st.occurrence, st.index),
+			MaxAway: max(st.spec.MaxAway, 1) - st.away(), PerWorker: st.spec.MaxPerWorker, Label: st.spec.Label,
+		})
+	}
+	return v
+}
+
+// away counts the tasks of a service step that are not at work.
+func (st *step) away() int {
+	n := 0
+	for _, t := range st.tasks {
+		if len(t.runs) != 1 || t.runs[0].phase != phaseRunning || t.runs[0].percent < fullProgress {
+			n++
+		}
+	}
+	return n
+}
+
+// vacateWorker stops the services of a worker. They are placed again like any that has
+// ended.
+func (e *Engine) vacateWorker(now time.Time, w *worker) {
+	w.vacatedUntil = now.Add(vacatedTime)
+	e.emitWorker(now, w, "Vacated", "fillers wait for a worker without services")
+	for _, r := range w.runs {
+		if r.task.step.spec.Service {
+			e.stop(now, r)
+		}
+	}
+}
