guavaqueue: the refusal of the next worker is no sign of life

A task that crashes its workers was started up to eight times (BUDGET). On each of the three workers a submission was cancelled while the worker was down. Its stop is repeated every 300 ms, and after the crash the worker that has the address by then refuses it (421). Answer took that for an answer of the worker that had crashed: aliveAt moved to 3.3 s after the start, so that the start was not fresh any more and the crash charged to nobody. It also reset failedHolds and processEnded, so that starts were sent there and the lease counted as that of a worker that only can't be reached.

Class: the answer of another one at an address is taken for that of the one that was asked. The reports check the boot, holds handle the refusal first, the clock reading of other orders did not. In guavascheduler and guavaowner no other place takes a refusal for a sign of life (read).

TestRefusalOfNextWorkerIsNoSignOfLife failed before with 4 starts in place of 3, ten times of ten.

--- a/guavaqueue/crashes_test.go
+++ b/guavaqueue/crashes_test.go
@@ -164,3 +164,32 @@
 	f.advance(20 * time.Second)
 	assert.Equal(t, map[guavascale.SubmissionState]int{guavascale.SubmissionCompleted: 1}, f.countStates())
 }
+
+// Guards against a crash that is charged to nobody since another worker, which has the
+// address by then, refuses a stop: that counted as a sign of life of the one that crashed.
+func TestRefusalOfNextWorkerIsNoSignOfLife(t *testing.T) {
+	f := newFleet(t, 6)
+	f.crashTime, f.newIDs = 3*time.Second, true
+	f.deadly = map[string]bool{"deadly": true}
+	for i := range 40 {
+		f.submit(batchOf(fmt.Sprintf("a%d", i), 1, 1, 50*time.Second))
+	}
+	f.advance(2 * time.Second)
+	f.submit(batchOf("deadly", 1, 1, time.Second))
+	for range 200 {
+		f.advance(200 * time.Millisecond)
+		for id, w := range f.workers {
+			if w.removed && !w.replaced || f.engine.workers[id] == nil {
+				continue
+			}
+			for r := range f.engine.workers[id].runs {
+				if !w.backAt.IsZero() && r.Task.Submission != "deadly" {
+					f.engine.Cancel(f.now, r.Task.Submission, func(guavascale.SubmissionState) {})
+				}
+			}
+		}
+	}
+	state, _ := f.engine.State("deadly")
+	assert.Equal(t, guavascale.SubmissionFailed, state)
+	assert.LessOrEqual(t, f.deadlyStarts, 3)
+}
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -332,7 +332,8 @@
 	if refusal == guavascale.RefusedToken {
 		e.deposed = true
 	}
-	if o.Kind != OrderHold && (out.Err == nil || refusal != "") {
+	// Another worker at the address says nothing about this one.
+	if o.Kind != OrderHold && (out.Err == nil || refusal != "" && refusal != guavascale.RefusedBoot) {
 		e.recordClock(now, o.Sent, w, out.Clock)
 	}
 	if o.Kind == OrderHold {
