guavaqueue: a run is called lost only from a complete list of ends

The class: absence from a list that is only a part. The other lists of `queue` were read for it: rows and parts are read page by page to the end, the list of workers comes in full or as changes. `serve` has reports of changes, which are no lists of ends.

A list is complete if it is shorter than what a worker lists at a time. The adapter knows that number (guavaplatform.EndsPerReport), the engine gets it in Limits.EndsPerReport; no message changes, so relays of earlier versions keep working, and their lists are judged as well. While a worker has more ends than it lists, no run of it is lost or a straggler, nothing is started there, and its next report is asked for as soon as ends are durable. A new owner counts such a worker as one that has not answered in full: inherited tasks wait until it has, or until its leases must have expired if it falls silent; it stays in the fleet's row and is asked further when it leaves or isn't listed any more. Starts on a worker are bounded by its runs and the ends that aren't durable, below the length of a list, so that an outage of the store doesn't pile up ends. Ruled out: a field in RunReport, which relays of earlier versions drop (their messages are arrays of a fixed length).

--- a/cmd/guavascaled/queue.go
+++ b/cmd/guavascaled/queue.go
@@ -121,12 +121,13 @@
 		// Starts need some time on their way.
 		MaxListAge: guavaconfig.Milliseconds(g.LeaveMaxMs) - startTransit,
 		Limits: guavaqueue.Limits{
-			LeaseMax:    guavaconfig.Milliseconds(g.LeaseMaxMs),
-			StopGrace:   guavaconfig.Milliseconds(g.StopGraceMs),
-			OwnerLease:  ownerLease,
-			DisturbMax:  guavaconfig.Milliseconds(g.DisturbMaxMs),
-			Keep:        time.Duration(g.KeepSeconds * retentionFactor * float64(time.Second)),
-			RackPenalty: g.RackPenalty,
+			LeaseMax:      guavaconfig.Milliseconds(g.LeaseMaxMs),
+			StopGrace:     guavaconfig.Milliseconds(g.StopGraceMs),
+			OwnerLease:    ownerLease,
+			DisturbMax:    guavaconfig.Milliseconds(g.DisturbMaxMs),
+			Keep:          time.Duration(g.KeepSeconds * retentionFactor * float64(time.Second)),
+			RackPenalty:   g.RackPenalty,
+			EndsPerReport: guavaplatform.EndsPerReport,
 		},
 		Log: log,
 	}
--- a/guavaqueue/failure_test.go
+++ b/guavaqueue/failure_test.go
@@ -162,7 +162,7 @@
 
 // Guards against concurrent runs of a task, starts after its end, and lost
 // submissions, under random network failures, worker restarts, delayed orders,
-// refused commits and changes of the owner.
+// refused commits, changes of the owner and workers that don't list all ends at once.
 func TestRandomFailures(t *testing.T) {
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -176,6 +176,9 @@
 	f := newFleet(t, 4)
 	f.rand = rand.New(rand.NewPCG(seed, 7))
 	f.lostStartShare, f.maxStartDelay = 0.05, 8*time.Second
+	if seed%2 == 1 {
+		f.pageSizes = []int{2, 5, 40}
+	}
 	for i := range 600 {
 		if i%8 == 0 {
 			f.submit(batchOf(fmt.Sprintf("s%d", i), 1+f.rand.IntN(2), 1+f.rand.IntN(4), time.Duration(f.rand.IntN(800)+50)*time.Millisecond))
@@ -231,7 +234,7 @@
 	f.advance(500 * time.Millisecond)
 	w := f.workers["w0"]
 	for id := range w.runs {
-		w.endRun(id, guavascale.RunFailed)
+		f.endRun(w, id, guavascale.RunFailed)
 	}
 	repeated := w.ended
 	f.advance(500 * time.Millisecond)
@@ -254,7 +257,7 @@
 	for range 3 {
 		for _, w := range f.workers {
 			for id := range w.runs {
-				w.endRun(id, guavascale.RunFailed)
+				f.endRun(w, id, guavascale.RunFailed)
 			}
 		}
 		f.advance(400 * time.Millisecond)
--- a/guavaqueue/fleet_test.go
+++ b/guavaqueue/fleet_test.go
@@ -45,8 +45,10 @@
 		lostStartShare float64
 		maxStartDelay  time.Duration
 		rand           *rand.Rand
-		// done holds the completed tasks whose ends the owner has acknowledged.
+		// done holds the completed tasks whose ends the owner has acknowledged, and
+		// startedAt when a run of a task last started.
 		done        map[guavascale.TaskRef]bool
+		startedAt   map[guavascale.TaskRef]time.Time
 		submissions map[string]guavascale.Submission
 		// accepted holds the submissions that were reported as accepted.
 		accepted map[string]bool
@@ -60,8 +62,12 @@
 		crashTime    time.Duration
 		newIDs       bool
 		loseDeadly   bool
-		// holds counts the hold orders.
-		holds int
+		// holds counts the hold orders, partialReports the reports that did not list
+		// all ends.
+		holds, partialReports int
+		// pageSizes holds the numbers of ends per report of which each new owner
+		// draws one; nil if they don't change.
+		pageSizes []int
 	}
 
 	// pendingOrder is an order without a response until due, when it fails or,
@@ -87,7 +93,11 @@
 		runs           map[guavascale.Run]*fakeRun
 		highestAttempt map[guavascale.TaskRef]int64
 		// ended holds the ends that the owner has not acknowledged.
-		ended         []guavascale.RunEnd
+		ended []guavascale.RunEnd
+		// endedAt is when the runs in ended ended, by number, and lapsedAt when the
+		// lease was last seen to have expired.
+		endedAt       map[uint64]time.Time
+		lapsedAt      time.Time
 		lastEndNumber uint64
 		// unreachable workers run on but answer no orders; removed ones are no
 		// longer listed by the platform.
@@ -147,6 +157,7 @@
 		},
 		workers: make(map[guavascale.WorkerID]*fakeWorker), rows: make(map[string][]byte),
 		rand: rand.New(rand.NewPCG(1, 2)), done: make(map[guavascale.TaskRef]bool),
+		startedAt:   make(map[guavascale.TaskRef]time.Time),
 		submissions: make(map[string]guavascale.Submission), accepted: make(map[string]bool),
 		catalog: &guavascale.Catalog{Version: 1, Queues: []guavascale.Queue{
 			{Name: "fast", Service: "desk", MaxAttempts: 3, Slack: 1.5, Target: 250 * time.Millisecond},
@@ -180,6 +191,7 @@
 	w.bootTime = f.now.Add(-time.Duration(f.rand.IntN(1000)+1) * time.Millisecond)
 	w.info.Born = f.now.UnixMilli()
 	w.token, w.leaseEnd, w.lastEndNumber, w.ended, w.pendingHold = 0, 0, 0, nil, nil
+	w.endedAt = make(map[uint64]time.Time)
 	w.runs = make(map[guavascale.Run]*fakeRun)
 	w.highestAttempt = make(map[guavascale.TaskRef]int64)
 }
@@ -187,6 +199,9 @@
 // replaceOwner replaces the engine by that of a new owner, restored from the table.
 func (f *fleet) replaceOwner() {
 	f.token++
+	if f.pageSizes != nil {
+		f.limits.EndsPerReport = f.pageSizes[f.rand.IntN(len(f.pageSizes))]
+	}
 	f.engine = &Engine{Token: f.token, Limits: f.limits}
 	f.pending, f.heldBatch = nil, nil
 	for _, w := range f.workers {
@@ -264,16 +279,19 @@
 		if w.removed {
 			continue
 		}
+		if w.clock(f.now) > w.leaseEnd {
+			w.lapsedAt = f.now
+		}
 		for id, r := range w.runs {
 			switch {
 			case w.clock(f.now) > w.leaseEnd:
-				w.endRun(id, guavascale.RunLapsed)
+				f.endRun(w, id, guavascale.RunLapsed)
 			case !r.stopAt.IsZero() && !f.now.Before(r.stopAt):
-				w.endRun(id, guavascale.RunStopped)
+				f.endRun(w, id, guavascale.RunStopped)
 			case r.stopAt.IsZero() && w.failAll:
-				w.endRun(id, guavascale.RunFailed)
+				f.endRun(w, id, guavascale.RunFailed)
 			case r.stopAt.IsZero() && r.work > 0 && !w.stuck && f.now.Sub(r.startedAt) >= r.work:
-				w.endRun(id, guavascale.RunDone)
+				f.endRun(w, id, guavascale.RunDone)
 			}
 		}
 	}
@@ -283,9 +301,10 @@
 func (w *fakeWorker) clock(now time.Time) time.Duration { return now.Sub(w.bootTime) }
 
 // endRun ends a run and records its outcome for the next report.
-func (w *fakeWorker) endRun(id guavascale.Run, how guavascale.RunOutcome) {
+func (f *fleet) endRun(w *fakeWorker, id guavascale.Run, how guavascale.RunOutcome) {
 	delete(w.runs, id)
 	w.lastEndNumber++
+	w.endedAt[w.lastEndNumber] = f.now
 	w.ended = append(w.ended, guavascale.RunEnd{Number: w.lastEndNumber, Run: id, Outcome: how})
 }
 
@@ -419,6 +438,7 @@
 	if f.done[s.Run.Task] {
 		f.t.Fatalf("%s: task %v starts on %s after its end was taken note of", f.elapsed(), s.Run, w.info.ID)
 	}
+	f.startedAt[s.Run.Task] = f.now
 	w.highestAttempt[s.Run.Task] = s.Run.Attempt
 	work := spec.Estimate
 	if w.slowdown > 0 {
@@ -465,8 +485,13 @@
 			f.engine.Answer(f.now, o, Outcome{Err: refusal(w, guavascale.RefusedToken)})
 			continue
 		}
+		ended := w.ended
+		if n := f.limits.EndsPerReport; n > 0 && len(ended) > n {
+			ended = ended[:n]
+			f.partialReports++
+		}
 		rep := guavascale.RunReport{
-			Clock: guavascale.WorkerClock(w.clock(f.now)), Born: w.info.Born, Ended: append([]guavascale.RunEnd(nil), w.ended...),
+			Clock: guavascale.WorkerClock(w.clock(f.now)), Born: w.info.Born, Ended: append([]guavascale.RunEnd(nil), ended...),
 		}
 		for id, r := range w.runs {
 			if r.work > 0 && !w.stuck {
@@ -496,8 +521,13 @@
 			kept = append(kept, end)
 			continue
 		}
-		if end.Outcome == guavascale.RunDone {
-			f.done[end.Run.Task] = true
+		if end.Outcome != guavascale.RunDone {
+			continue
+		}
+		f.done[end.Run.Task] = true
+		if at := w.endedAt[end.Number]; f.startedAt[end.Run.Task].After(at) && !w.lapsedAt.After(at) && !f.spec(end.Run.Task).Copies {
+			f.t.Fatalf("%s: task %v was started again %s after its end on %s, which is taken note of", f.elapsed(), end.Run,
+				f.startedAt[end.Run.Task].Sub(at), w.info.ID)
 		}
 	}
 	w.ended = kept
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -126,6 +126,10 @@
 		// RackPenalty is the factor by which a task runs longer on another rack
 		// than its data or the other tasks of its step.
 		RackPenalty float64
+		// EndsPerReport is the number of ends that a worker lists at a time; 0
+		// means no limit. The list of a report with fewer is complete. Starts are
+		// bounded so that this is the rule.
+		EndsPerReport int
 	}
 
 	// Stats holds counts of an engine's state for logs and metrics.
@@ -325,6 +329,9 @@
 		seen, acked uint64
 		// unackedEnds holds the applied ends after acked, in order.
 		unackedEnds []unackedEnd
+		// moreEnds is set while the worker may have ends that the latest report did
+		// not list. A run in neither list is not lost then.
+		moreEnds    bool
 		holdPending bool
 		holdAt      time.Time
 		// reportedAt is when the last report arrived.
--- a/guavaqueue/missing.go
+++ b/guavaqueue/missing.go
@@ -12,7 +12,7 @@
 
 type (
 	// missingWorkers holds the workers of an earlier owner's fleet that have not
-	// answered this owner. Tasks of that owner may run there until their leases
+	// answered this owner in full. Tasks of that owner may run there until their leases
 	// must have expired. The remaining times are recorded in the table, so that
 	// the next owner continues the wait. It counts on the leases of a recorded
 	// worker not being extended, so this owner extends none until the worker is
@@ -22,6 +22,9 @@
 		until map[guavascale.WorkerID]time.Time
 		// recorded is the set of workers in the row that is or may be durable.
 		recorded map[guavascale.WorkerID]bool
+		// listing holds the workers that have answered but have more ends than
+		// their reports have listed so far.
+		listing map[guavascale.WorkerID]bool
 		// dirty is set when the row must be written as soon as possible.
 		dirty     bool
 		writtenAt time.Time
@@ -59,7 +62,22 @@
 	}
 }
 
-// remove removes a worker that has answered or is gone.
+// reported records that a worker has answered or is gone. More is set if it has ends
+// that it has not listed yet.
+func (m *missingWorkers) reported(id guavascale.WorkerID, more bool) {
+	if _, missing := m.until[id]; missing && more {
+		if m.listing == nil {
+			m.listing = make(map[guavascale.WorkerID]bool)
+		}
+		m.listing[id] = true
+	}
+	if !more {
+		delete(m.listing, id)
+	}
+	m.remove(id)
+}
+
+// remove removes a worker that needn't be waited for any more.
 func (m *missingWorkers) remove(id guavascale.WorkerID) {
 	delete(m.until, id)
 	m.dirty = m.dirty || m.recorded[id]
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -162,7 +162,8 @@
 // checkLease marks the runs of a worker as lost if its lease must have expired,
 // and removes a worker that is gone.
 func (e *Engine) checkLease(now time.Time, w *worker, sole bool) {
-	if sole && len(w.runs) > 0 && w.leaseExpired(now) {
+	silent := w.failedHolds > 0
+	if sole && (len(w.runs) > 0 || silent && e.missing.listing[w.ID]) && w.leaseExpired(now) {
 		if w.processEnded {
 			e.recordCrash(now, w)
 		}
@@ -170,7 +171,10 @@
 			e.markLost(now, r, "the lease expired")
 		}
 		e.emitWorker(now, w, "Lapsed", "no answer before the lease expired")
-		w.known = false
+		if w.known = false; silent {
+			w.moreEnds = false
+			e.missing.reported(w.ID, false)
+		}
 	}
 	if !w.listed && len(w.runs) == 0 && !w.holdPending && (w.clockAt.IsZero() || w.leaseExpired(now)) {
 		e.removeWorker(w)
@@ -203,7 +207,7 @@
 	}
 	waiting := w.seen > w.acked
 	switch {
-	case !w.listed && len(w.runs) == 0:
+	case !w.listed && len(w.runs) == 0 && !w.moreEnds:
 		return
 	case w.failedHolds > 0 && now.Sub(w.holdAt) < minHoldInterval*time.Duration(min(w.failedHolds, 4)):
 		return
@@ -220,7 +224,7 @@
 	}
 	wait := w.untilNextEnd(now)
 	switch {
-	case !w.known || waiting || w.failedHolds > 0:
+	case !w.known || waiting || w.moreEnds || w.failedHolds > 0:
 		wait = 0
 	case len(w.runs) == 0:
 		wait = holdWaitIdle
@@ -380,8 +384,8 @@
 		for _, r := range w.runs {
 			e.markLost(now, r, "another worker has its address")
 		}
-		e.markReported(w.ID)
-		w.listed = false
+		e.missing.reported(w.ID, false)
+		w.listed, w.moreEnds = false, false
 	default:
 		var unavailable *guavascale.UnavailableError
 		if waited := now.Sub(o.Sent); w.failedHolds == 0 && waited > brokenHoldTime && waited < o.Timeout {
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -265,7 +265,7 @@
 // rate returns the rating of a worker for a task of the step, or false if it can't
 // run one. Failures since the worker's last success lower the rating.
 func (e *Engine) rate(now time.Time, st *step, w *worker) (float64, bool) {
-	if w.pendingStarts >= maxPendingStarts || !w.Capacity.Fits(w.used.Add(st.tasks[0].size())) {
+	if w.pendingStarts >= maxPendingStarts || e.endsFull(w) || !w.Capacity.Fits(w.used.Add(st.tasks[0].size())) {
 		return 0, false
 	}
 	if st.spec.MaxPerWorker > 0 && st.perWorker[w.ID] >= st.spec.MaxPerWorker {
--- a/guavaqueue/stragglers.go
+++ b/guavaqueue/stragglers.go
@@ -67,7 +67,7 @@
 	}
 	e.stragglersCheckedAt = now
 	for _, w := range e.workerList {
-		if w.failedHolds > 0 {
+		if w.failedHolds > 0 || w.moreEnds {
 			continue
 		}
 		for _, r := range w.runs {
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -62,11 +62,17 @@
 	}
 }
 
-// mayHoldRuns reports whether the worker has runs, may get some, or has reported
-// ends that are not durable yet. A new owner waits for such workers, but not for
-// a leaving worker that has been drained.
+// mayHoldRuns reports whether the worker has runs, may get some, or has ends that
+// are not durable yet. A new owner waits for such workers, but not for a leaving
+// worker that has been drained.
 func (w *worker) mayHoldRuns() bool {
-	return !w.Leaving || len(w.runs) > 0 || w.seen > w.acked
+	return !w.Leaving || len(w.runs) > 0 || w.seen > w.acked || w.moreEnds
+}
+
+// endsFull reports whether one more run could end before the worker can list it, since
+// earlier ends have to become durable first.
+func (e *Engine) endsFull(w *worker) bool {
+	return w.moreEnds || e.Limits.EndsPerReport > 0 && len(w.unackedEnds)+len(w.runs) >= e.Limits.EndsPerReport-1
 }
 
 // RemoveWorker marks a worker that is no longer in the platform's worker list. Its runs
@@ -103,6 +109,7 @@
 		e.markLost(now, r, "the worker restarted")
 	}
 	e.emitWorker(now, w, "Restarted", "")
+	delete(e.missing.listing, w.ID)
 	w.Born, w.leaseEnd = born, 0
 	w.resetEnds()
 	w.clockAt, w.holdAt = time.Time{}, time.Time{}
@@ -193,10 +200,10 @@
 		}
 		w.unackedEnds = append(w.unackedEnds, pending)
 	}
-	w.seen = last
+	w.seen, w.moreEnds = last, e.Limits.EndsPerReport > 0 && len(rep.Ended) >= e.Limits.EndsPerReport
 	w.ackDurableEnds()
 	for _, r := range w.runs {
-		if !listed[r.id] && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
+		if !w.moreEnds && !listed[r.id] && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
 			e.markLost(now, r, "missing from the worker's report")
 		}
 	}
@@ -204,13 +211,16 @@
 	if w.listed && !w.durable && w.mayHoldRuns() {
 		e.fleetDirty = true
 	}
-	if !w.known {
+	first := !w.known
+	if first {
 		// An earlier owner, or this one before the worker restarted, may have
 		// granted a lease of up to LeaseMax.
 		w.leaseEnd = max(w.leaseEnd, w.clock+e.Limits.LeaseMax)
 		w.known = true
 		e.emitWorker(now, w, "Known", "")
-		e.markReported(w.ID)
+	}
+	if first || e.missing.listing[w.ID] {
+		e.missing.reported(w.ID, w.moreEnds)
 	}
 }
 
@@ -280,7 +290,7 @@
 }
 
 // resetEnds makes the worker report all ends again.
-func (w *worker) resetEnds() { w.seen, w.acked, w.unackedEnds = 0, 0, nil }
+func (w *worker) resetEnds() { w.seen, w.acked, w.unackedEnds, w.moreEnds = 0, 0, nil, false }
 
 // ackDurableEnds acknowledges the ends up to the first one that is not durable.
 func (w *worker) ackDurableEnds() {
@@ -423,12 +433,8 @@
 	e.requeue(r.task.step)
 }
 
-// markReported records that a worker from the fleet of an earlier owner has
-// reported its runs or is gone.
-func (e *Engine) markReported(id guavascale.WorkerID) { e.missing.remove(id) }
-
 // inheritedRunsKnown reports whether all runs of earlier owners are known.
-func (e *Engine) inheritedRunsKnown() bool { return len(e.missing.until) == 0 }
+func (e *Engine) inheritedRunsKnown() bool { return len(e.missing.until)+len(e.missing.listing) == 0 }
 
 func (e *Engine) addRun(r *run) {
 	t := r.task
--- a/run.go
+++ b/run.go
@@ -71,7 +71,10 @@
 		// its earlier runs.
 		Born    int64
 		Running []RunState
-		Ended   []RunEnd
+		// Ended holds the unacknowledged ends with the lowest numbers, as many as
+		// the worker lists at a time. If it holds that many, a run in neither list
+		// may have ended.
+		Ended []RunEnd
 	}
 
 	// RunState is the state of a running run.
