guavaqueue: one task of each starved submission runs

Class: an order by priority without a bound on the wait of the last.

A filler step that has waited 2 s with nothing of its submission running may start one task on a worker without services whose processors are taken, up to twice its capacity; while other fillers wait that can still meet their objectives, after 20 s and up to a quarter over. Processors are shared, so the backlog takes as long as before.

--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -106,7 +106,10 @@
 		kindsWrittenAt      time.Time
 		stragglersCheckedAt time.Time
 		vacatedAt           time.Time
-		nextExpiry          time.Time
+		// overcommit is the share of a worker's processors that starved fillers may take
+		// beyond its capacity in this scheduling pass.
+		overcommit float64
+		nextExpiry time.Time
 	}
 
 	// Limits holds guarantees and settings that the scheduling depends on.
@@ -184,6 +187,8 @@
 		// in a committed one.
 		changed, writing, written uint64
 		waiters                   []func(guavascale.SubmissionState)
+		// runs counts the runs that are or may be active.
+		runs int
 		// started is set once a worker has confirmed or reported a run.
 		started bool
 		removed bool
@@ -216,6 +221,8 @@
 		// waitingSince is when the step was first seen with waiting tasks, or the time of
 		// its latest start after that; zero while no task waits.
 		waitingSince time.Time
+		// starved is set if one task may start on a worker whose processors are taken.
+		starved bool
 	}
 
 	task struct {
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -246,7 +246,7 @@
 
 // start starts an attempt of a task on a worker.
 func (e *Engine) start(now time.Time, t *task, w *worker, attempt int64) {
-	t.attempt, t.step.waitingSince = attempt, now
+	t.attempt, t.step.waitingSince, t.step.starved = attempt, now, false
 	r := &run{
 		id: guavascale.Run{Task: t.ref(), Attempt: attempt}, task: t, worker: w,
 		sentAt: now, startedAt: now, startPending: true, pace: fullPace,
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -12,8 +12,8 @@
 	// placementClass groups steps that can run on the same workers if their
 	// sizes are left out of account.
 	placementClass struct {
-		queue, label, kind string
-		filler, service    bool
+		queue, label, kind       string
+		filler, service, starved bool
 	}
 )
 
@@ -53,6 +53,7 @@
 		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.priority, b.priority), a.latest.Compare(b.latest))
 	})
 	e.updateDemand(now)
+	e.updateStarvation(now)
 	kept := e.readySteps[:0]
 	for _, st := range e.readySteps {
 		e.placeStep(now, st)
@@ -301,7 +302,7 @@
 }
 
 func placementClassOf(st *step) placementClass {
-	return placementClass{queue: st.sub.Queue, label: st.spec.Label, kind: st.spec.Kind, filler: st.spec.Filler, service: st.spec.Service}
+	return placementClass{queue: st.sub.Queue, label: st.spec.Label, kind: st.spec.Kind, filler: st.spec.Filler, service: st.spec.Service, starved: st.starved}
 }
 
 // score rates a worker that has room for a task of the step; higher is better. It
@@ -325,7 +326,7 @@
 		// Fillers get the processors that other tasks declare but don't use.
 		taken := float64(w.used.MilliCores-w.serviceMilliCores+w.fillerMilliCores+st.spec.Size.MilliCores) + serviceUsageShare*float64(w.serviceMilliCores)
 		left := 1 - taken/capacity
-		if left < 0 {
+		if !e.processorsLeft(st, w, left) {
 			return 0, false
 		}
 		if e.excluded(now, st.spec.Kind, w) || w.serviceMilliCores > 0 && w.worstLatencyRatio > maxStartRatio {
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -388,7 +388,7 @@
 	}
 	e.nextExpiry = now.Add(e.Limits.Keep / 10)
 	for id, s := range e.subs {
-		if s.state.Ended() && s.durable && !s.dirty && now.Sub(s.ended) > e.Limits.Keep && !s.hasRuns() {
+		if s.state.Ended() && s.durable && !s.dirty && now.Sub(s.ended) > e.Limits.Keep && s.runs == 0 {
 			s.removed = true
 			e.markDirty(now, s, false)
 			delete(e.subs, id)
@@ -396,17 +396,6 @@
 	}
 }
 
-func (s *submission) hasRuns() bool {
-	for _, st := range s.steps {
-		for _, t := range st.tasks {
-			if len(t.runs) > 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // Restore loads the rows of earlier owners into an empty engine. LeasesEnd is the time
 // at which all leases that these owners granted must have ended.
 func (e *Engine) Restore(now time.Time, rows []guavascale.Row, leasesEnd time.Time) error {
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -447,6 +447,7 @@
 	w.runs[r.id] = r
 	w.addUsage(t, 1)
 	s := t.step.sub
+	s.runs++
 	s.started = s.started || !r.confirmedAt.IsZero()
 	if s.state == guavascale.SubmissionQueued {
 		s.state = guavascale.SubmissionRunning
@@ -474,6 +475,7 @@
 		return
 	}
 	delete(w.runs, r.id)
+	t.step.sub.runs--
 	if w.durable && !w.mayHoldRuns() {
 		e.fleetDirty = true
 	}
