guavascheduler: a commit that was given up is not taken for another one

The heartbeat in flight was given up, its outcome unknown, and was applied as number n+1. The first batch was number n+1 as well, failed its condition, and Resolve, which compared the number only, took the heartbeat's head for the batch's.

Class: an identity that is not the content's, and a call that outlives the wait for it.

- The head has the ID of the commit that wrote it (a new JSON field).
Resolve tells by epoch, owner, number and ID.
A head without an ID is none of this process's commits, which all have one, so none is judged by its number: an owner is one process, and versions don't mix within an epoch.
- Next gives no number twice, also not after a refusal, and fails with UnsettledError while the outcome of the previous commit is unknown.
So nothing is sent beside a commit that may still be applied late, and a term that gave one up ends.
- Heartbeats of the load are commits of the term, with its context.
One that is in flight at the end of the load stays the term's commit in progress, and the first batch waits for it.
Awaiting it within loadRows would have kept a new owner from its workers for as long as the store is silent.
Errors of these heartbeats end the term as those of other commits do; they were logged and ignored.

Ruled out: settling by reading the head alone, since a commit that is not in the head may be applied after the read; it is settled only by repeating it until it has an answer.

Tests, before: TestHeartbeatOfTheLoadIsNotTakenForTheFirstBatch failed ("row Test/row does not exist", after a nil error), TestNoCommitFollowsOneThatWasGivenUp failed (the second commit was sent, no error), a chain that resolved "f" against the head of "g" with the same number returned applied. TestChainResolves and TestCommitAttempts used heads without an ID; they have the IDs of the commits now, and what passed by the number alone is a case that must fail.

--- a/guavaowner/guavaowner.go
+++ b/guavaowner/guavaowner.go
@@ -5,10 +5,14 @@
 // version of the head that its previous commit wrote, and writes a new head, so
 // the commits form a chain that a claim by another daemon breaks. A commit with
 // an unknown outcome is retried unchanged: at most one of the copies is applied,
-// and the commit number in the head shows afterwards whether one was. A copy that
+// and the ID and the number in the head show afterwards whether one was. A copy that
 // arrives late fails its condition and has no effect. An owner with nothing to
 // commit writes only the head, as a heartbeat.
 //
+// Other content has another ID and another number, and the next commit is sent only
+// once the outcome of the previous one is known: until then the previous one may
+// still be applied in its place.
+//
 // A daemon claims a shard when there is no head, when the owner has left or was
 // an earlier process at the daemon's own address, or when the head has not
 // changed for some time. A claim of a shard whose owner is alive is safe: from
@@ -34,8 +38,12 @@
 		// it.
 		Owner   string
 		Address string
-		// Number counts the commits of the epoch; the claim is number 1.
+		// Number increases with each commit of the epoch; the claim is number 1. No
+		// two commits of an owner have the same number.
 		Number uint64
+		// ID is the ID of the commit that wrote the head. Heads of earlier versions
+		// have none.
+		ID string `json:",omitempty"`
 		// Left is set when the owner has permanently stopped giving orders. Heir
 		// is the designated successor, a daemon that is ready to take over, or "".
 		Left bool
@@ -81,15 +89,27 @@
 
 	// Chain holds an owner's position in the sequence of commits.
 	Chain struct {
+		// Head is the head that the last applied commit wrote.
 		Head
 		// Version is the version of the head row.
 		Version uint64
+
+		// sent is the head of the last Next. Its outcome is unknown while open is
+		// set.
+		sent Head
+		open bool
 	}
 
-	// LostError reports that another daemon owns the shard.
+	// LostError reports that another daemon owns the shard, or that the head is not
+	// one that the owner may continue from.
 	LostError struct {
 		Head Head
 	}
+
+	// UnsettledError reports a commit whose outcome must be known first.
+	UnsettledError struct {
+		Number uint64
+	}
 )
 
 const (
@@ -121,6 +141,11 @@
 	return fmt.Sprintf("the shard is owned by %s at epoch %d", e.Head.Owner, e.Head.Epoch)
 }
 
+// Error names the number of the commit.
+func (e *UnsettledError) Error() string {
+	return fmt.Sprintf("the outcome of commit %d is unknown", e.Number)
+}
+
 // ParseHead decodes a head row.
 func ParseHead(row guavascale.Row) (Head, error) {
 	var h Head
@@ -217,48 +242,58 @@
 	return HeirHeadStart
 }
 
-// Next returns the commit that writes the given rows and the next head. It must
-// not be called again before the commit was applied or resolved. If leave is set,
-// the commit is the owner's last one and names the heir.
-func (c *Chain) Next(id string, writes []guavascale.Write, leave bool, heir string) guavascale.Commit {
+// Next returns the commit that writes the given rows and the next head, which has the
+// given ID. It fails with UnsettledError unless the commit of the previous Next was
+// applied, refused or resolved. If leave is set, the commit is the owner's last one and
+// names the heir.
+func (c *Chain) Next(id string, writes []guavascale.Write, leave bool, heir string) (guavascale.Commit, error) {
+	if c.open {
+		return guavascale.Commit{}, &UnsettledError{Number: c.sent.Number}
+	}
 	h := c.Head
-	h.Number++
-	h.Left, h.Heir = leave, heir
+	h.Number = max(c.Number, c.sent.Number) + 1
+	h.ID, h.Left, h.Heir = id, leave, heir
 	value, err := json.Marshal(h)
 	if err != nil {
-		// Head holds no values that JSON can't encode.
-		panic(fmt.Sprintf("guavaowner: encode the head: %v", err))
+		return guavascale.Commit{}, fmt.Errorf("encode the head: %w", err)
 	}
+	c.sent, c.open = h, true
 	return guavascale.Commit{
 		ID:         id,
 		Conditions: []guavascale.Condition{{Key: HeadKey, Version: c.Version}},
 		Writes:     append([]guavascale.Write{{Key: HeadKey, Value: value}}, writes...),
-	}
+	}, nil
 }
 
 // Applied records that the commit of the last Next was applied. Version is the
 // resulting version of the head row.
-func (c *Chain) Applied(version uint64) {
-	c.Number++
-	c.Version = version
-}
+func (c *Chain) Applied(version uint64) { c.Head, c.Version, c.open = c.sent, version, false }
+
+// Refused records that the commit of the last Next was not applied and never will be.
+func (c *Chain) Refused() { c.open = false }
 
 // Resolve determines from the current head whether the commit of the last Next,
 // which failed its condition, was applied by an earlier try. If not, the version
 // was out of date: Resolve updates it, and Next returns the commit to retry. It
-// fails with LostError if another daemon owns the shard.
+// fails with LostError if the head is another one, since the owner doesn't know the
+// rows that were written with it.
 func (c *Chain) Resolve(h Head, version uint64) (applied bool, err error) {
-	if h.Epoch != c.Epoch || h.Owner != c.Owner {
-		return false, &LostError{Head: h}
-	}
-	switch h.Number {
-	case c.Number + 1:
+	switch {
+	case h.isOf(c.sent):
 		c.Applied(version)
 		return true, nil
-	case c.Number:
+	case h.isOf(c.Head):
 		c.Version = version
+		c.Refused()
 		return false, nil
 	default:
 		return false, &LostError{Head: h}
 	}
 }
+
+// isOf reports whether the head was written by the same commit as another one. An owner
+// is one process and gives an ID to all of its commits, so a head without one is of
+// none of them.
+func (h *Head) isOf(other Head) bool {
+	return h.ID != "" && h.ID == other.ID && h.Epoch == other.Epoch && h.Owner == other.Owner && h.Number == other.Number
+}
--- a/guavaowner/guavaowner_test.go
+++ b/guavaowner/guavaowner_test.go
@@ -82,22 +82,30 @@
 }
 
 // Guards against a commit that is counted twice or not at all after its response
-// was lost, and against commits of a former owner.
+// was lost, against a commit that is taken for another one, and against commits of a
+// former owner.
 func TestChainResolves(t *testing.T) {
 	cases := map[string]struct {
 		head    Head
 		applied bool
 		lost    bool
 	}{
-		"it was applied":             {head: Head{Epoch: 2, Owner: "me", Number: 6}, applied: true},
-		"it was not applied":         {head: Head{Epoch: 2, Owner: "me", Number: 5}},
-		"another daemon claimed":     {head: Head{Epoch: 3, Owner: "other", Number: 1}, lost: true},
-		"the head is from long ago":  {head: Head{Epoch: 2, Owner: "me", Number: 3}, lost: true},
-		"another run with the epoch": {head: Head{Epoch: 2, Owner: "other", Number: 6}, lost: true},
+		"it was applied":               {head: Head{Epoch: 2, Owner: "me", Number: 6, ID: "f"}, applied: true},
+		"it was not applied":           {head: Head{Epoch: 2, Owner: "me", Number: 5, ID: "e"}},
+		"other content of the number":  {head: Head{Epoch: 2, Owner: "me", Number: 6, ID: "g"}, lost: true},
+		"other content, earlier":       {head: Head{Epoch: 2, Owner: "me", Number: 5, ID: "g"}, lost: true},
+		"the ID with another number":   {head: Head{Epoch: 2, Owner: "me", Number: 7, ID: "f"}, lost: true},
+		"a head of an earlier version": {head: Head{Epoch: 2, Owner: "me", Number: 6}, lost: true},
+		"another daemon claimed":       {head: Head{Epoch: 3, Owner: "other", Number: 1, ID: "f"}, lost: true},
+		"the head is from long ago":    {head: Head{Epoch: 2, Owner: "me", Number: 3, ID: "c"}, lost: true},
+		"another run with the epoch":   {head: Head{Epoch: 2, Owner: "other", Number: 6, ID: "f"}, lost: true},
+		"there is no head":             {lost: true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := Chain{Head: Head{Epoch: 2, Owner: "me", Number: 5}, Version: 10}
+			c := Chain{Head: Head{Epoch: 2, Owner: "me", Number: 5, ID: "e"}, Version: 10}
+			_, err := c.Next("f", nil, false, "")
+			require.NoError(t, err)
 			applied, err := c.Resolve(tc.head, 20)
 			var lost *LostError
 			if tc.lost {
@@ -112,16 +120,36 @@
 	}
 }
 
+// Guards against a number that is sent twice with other content, and against a commit
+// that is sent while the one before may still be applied: the late one was taken for it.
+func TestNumbersAreNotSentAgain(t *testing.T) {
+	c := Chain{Head: Head{Epoch: 2, Owner: "me", Number: 5, ID: "e"}, Version: 10}
+	_, err := c.Next("f", nil, false, "")
+	require.NoError(t, err)
+	var unsettled *UnsettledError
+	_, err = c.Next("g", nil, false, "")
+	require.ErrorAs(t, err, &unsettled)
+	c.Refused()
+	commit, err := c.Next("g", nil, false, "")
+	require.NoError(t, err)
+	h, err := ParseHead(guavascale.Row{Key: HeadKey, Value: commit.Writes[0].Value})
+	require.NoError(t, err)
+	assert.Equal(t, Head{Epoch: 2, Owner: "me", Number: 7, ID: "g"}, h)
+	c.Applied(11)
+	assert.Equal(t, h, c.Head)
+}
+
 // Guards against commits that don't fence off a former owner: each commit must
 // require the head of the previous one and write the next.
 func TestNextRequiresTheHead(t *testing.T) {
 	c := Chain{Head: Head{Epoch: 2, Owner: "me", Number: 5}, Version: 10}
-	commit := c.Next("id", []guavascale.Write{{Key: "a/b"}}, true, "heir")
+	commit, err := c.Next("id", []guavascale.Write{{Key: "a/b"}}, true, "heir")
+	require.NoError(t, err)
 	assert.Equal(t, []guavascale.Condition{{Key: HeadKey, Version: 10}}, commit.Conditions)
 	require.Len(t, commit.Writes, 2)
 	h, err := ParseHead(guavascale.Row{Key: HeadKey, Value: commit.Writes[0].Value})
 	require.NoError(t, err)
-	assert.Equal(t, Head{Epoch: 2, Owner: "me", Number: 6, Left: true, Heir: "heir"}, h)
+	assert.Equal(t, Head{Epoch: 2, Owner: "me", Number: 6, ID: "id", Left: true, Heir: "heir"}, h)
 }
 
 // Guards against a new owner that waits although the leases of the former owner must
--- a/guavascheduler/commit.go
+++ b/guavascheduler/commit.go
@@ -11,7 +11,6 @@
 
 // commitResult is the outcome of one attempt of a commit.
 type commitResult struct {
-	id      string
 	start   time.Time
 	version uint64
 	err     error
@@ -38,10 +37,9 @@
 
 var errNoResponse = errors.New("the store has not responded to a commit yet")
 
-// attemptCommit makes a commit. It repeats an attempt without a response but still
-// waits for the response, since the store may only be slow. All attempts have the
-// same condition, so at most one is applied. It returns an UnavailableError only if
-// the commit was definitely not applied.
+// attemptCommit makes a commit. It returns an UnavailableError only if the commit was
+// definitely not applied. Ctx is the term's: after a commit that was given up the term
+// makes no other, since nobody knows which of them the store applies.
 func (t *term) attemptCommit(ctx context.Context, b *guavaqueue.Batch, leave bool) error {
 	var writes []guavascale.Write
 	if b != nil {
@@ -53,7 +51,23 @@
 	if !leave {
 		successor = ""
 	}
-	c, firstStart := t.chain.Next(newID(), writes, leave, successor), t.scheduler.Clock.Now()
+	for {
+		c, err := t.chain.Next(newID(), writes, leave, successor)
+		if err != nil {
+			return err
+		}
+		if applied, err := t.settle(ctx, c); applied || err != nil {
+			return err
+		}
+	}
+}
+
+// settle sends a commit until its outcome is known. It repeats an attempt without a
+// response but still waits for the response, since the store may only be slow. All
+// attempts have the same condition, so at most one is applied. It returns false without
+// an error if the condition is out of date.
+func (t *term) settle(ctx context.Context, c guavascale.Commit) (applied bool, err error) {
+	firstStart := t.scheduler.Clock.Now()
 	results := make(chan commitResult, maxOpenAttempts)
 	// open counts the attempts without a result. mayHaveApplied is set if one has
 	// ended with an unknown outcome.
@@ -62,25 +76,21 @@
 	for {
 		if open < maxOpenAttempts {
 			open++
-			go func(c guavascale.Commit) { results <- t.commitOnce(ctx, c) }(c)
+			go func() { results <- t.commitOnce(ctx, c) }()
 		}
 		res, ok := awaitResult(ctx, results, t.repeatCommitAfter)
 		switch {
 		case ctx.Err() != nil:
-			return ctx.Err()
+			return false, ctx.Err()
 		case !ok:
 			t.recordFailure(errNoResponse)
 			t.repeatCommitAfter = min(2*t.repeatCommitAfter, maxRepeatAfter)
 			continue
 		}
 		open--
-		if res.id != c.ID {
-			// An attempt with an outdated condition.
-			continue
-		}
 		if res.err == nil {
 			t.finishAttempt(res)
-			return nil
+			return true, nil
 		}
 		var conditionErr *guavascale.ConditionError
 		if errors.As(res.err, &conditionErr) {
@@ -88,18 +98,14 @@
 			if err == nil && applied {
 				t.recordCommit(firstStart)
 			}
-			if err != nil || applied {
-				return err
-			}
-			c, firstStart = t.chain.Next(newID(), writes, leave, successor), t.scheduler.Clock.Now()
-			mayHaveApplied = false
-			continue
+			return applied, err
 		}
 		var unavailable *guavascale.UnavailableError
 		mayHaveApplied = mayHaveApplied || !errors.As(res.err, &unavailable) || unavailable.MayHaveApplied
 		t.recordFailure(res.err)
 		if !mayHaveApplied && open == 0 {
-			return res.err
+			t.chain.Refused()
+			return false, res.err
 		}
 		sleep(ctx, commitRetryDelay)
 	}
@@ -128,7 +134,7 @@
 }
 
 func (t *term) commitOnce(ctx context.Context, c guavascale.Commit) commitResult {
-	res := commitResult{id: c.ID, start: t.scheduler.Clock.Now()}
+	res := commitResult{start: t.scheduler.Clock.Now()}
 	res.version, res.err = t.scheduler.commit(ctx, c, attemptTimeout)
 	return res
 }
--- a/guavascheduler/commit_test.go
+++ b/guavascheduler/commit_test.go
@@ -18,22 +18,27 @@
 )
 
 // scriptedTable answers the n-th commit by calling commits[n], and reads of the head
-// row with head.
+// row with head or, without one, with the head of the latest commit.
 type scriptedTable struct {
 	guavascale.Table
 	commits []func(ctx context.Context) (uint64, error)
-	head    guavaowner.Head
+	head    *guavaowner.Head
 	// headVersion is the version of the head row.
 	headVersion uint64
 	n           atomic.Int64
+	latest      atomic.Pointer[guavascale.Commit]
 }
 
-func (s *scriptedTable) Commit(ctx context.Context, _ guavascale.Commit) (uint64, error) {
+func (s *scriptedTable) Commit(ctx context.Context, c guavascale.Commit) (uint64, error) {
+	s.latest.Store(&c)
 	n := int(s.n.Add(1)) - 1
 	return s.commits[min(n, len(s.commits)-1)](ctx)
 }
 
 func (s *scriptedTable) Get(context.Context, string) (guavascale.Row, error) {
+	if s.head == nil {
+		return guavascale.Row{Key: guavaowner.HeadKey, Version: s.headVersion, Value: s.latest.Load().Writes[0].Value}, nil
+	}
 	value, err := json.Marshal(s.head)
 	return guavascale.Row{Key: guavaowner.HeadKey, Version: s.headVersion, Value: value}, err
 }
@@ -57,10 +62,9 @@
 	}
 	silent := after(time.Hour, 0, nil)
 	outdated := after(0, 0, &guavascale.ConditionError{Key: guavaowner.HeadKey})
-	applied := guavaowner.Head{Epoch: 3, Owner: "a", Number: 1}
 	cases := map[string]struct {
 		commits []func(context.Context) (uint64, error)
-		head    guavaowner.Head
+		head    *guavaowner.Head
 		// version is the version of the head row that the chain ends with.
 		version    uint64
 		notApplied bool
@@ -70,12 +74,12 @@
 	}{
 		"prompt":             {commits: []func(context.Context) (uint64, error){after(0, 7, nil)}, version: 7},
 		"slow":               {commits: []func(context.Context) (uint64, error){after(400*time.Millisecond, 7, nil), silent}, version: 7, maxFailures: 1},
-		"response lost":      {commits: []func(context.Context) (uint64, error){silent, outdated}, head: applied, version: 9, maxFailures: 1},
+		"response lost":      {commits: []func(context.Context) (uint64, error){silent, outdated}, version: 9, maxFailures: 1},
 		"request lost":       {commits: []func(context.Context) (uint64, error){silent, after(0, 8, nil)}, version: 8, maxFailures: 1},
 		"refused":            {commits: []func(context.Context) (uint64, error){after(0, 0, unavailable(false))}, notApplied: true, maxFailures: 1},
 		"slow, then refused": {commits: []func(context.Context) (uint64, error){after(400*time.Millisecond, 7, nil), after(0, 0, unavailable(false)), silent}, version: 7, maxFailures: 3},
 		"lost, then refused": {commits: []func(context.Context) (uint64, error){after(0, 0, unavailable(true)), after(0, 0, unavailable(false)), after(0, 8, nil)}, version: 8, maxFailures: 2},
-		"another owner":      {commits: []func(context.Context) (uint64, error){outdated}, head: guavaowner.Head{Epoch: 4, Owner: "b"}, lost: true},
+		"another owner":      {commits: []func(context.Context) (uint64, error){outdated}, head: &guavaowner.Head{Epoch: 4, Owner: "b"}, lost: true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -116,7 +120,7 @@
 	tm := newTerm(clock, &countingRunner{})
 	tm.chain = guavaowner.Chain{Head: guavaowner.Head{Epoch: 3, Owner: "a"}, Version: 5}
 	tm.scheduler.Table = &scriptedTable{
-		head: guavaowner.Head{Epoch: 3, Owner: "a", Number: 1}, headVersion: 9,
+		headVersion: 9,
 		commits: []func(context.Context) (uint64, error){func(context.Context) (uint64, error) {
 			clock.advance(time.Second)
 			return 0, &guavascale.ConditionError{Key: guavaowner.HeadKey}
--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -246,17 +246,23 @@
 		}
 		return nil
 	}
-	version, err = s.commit(ctx, claim.Next(newID(), nil, false, ""), claimTimeout)
+	commit, err := claim.Next(newID(), nil, false, "")
+	if err == nil {
+		version, err = s.commit(ctx, commit, claimTimeout)
+	}
 	if err == nil {
 		claim.Applied(version)
 		return claim
 	}
 	s.Log.Info().Uint64("Epoch", claim.Epoch).Err(err).Msg("scheduler: the claim was not confirmed")
 	h, version, err = s.readHead(ctx, tableTimeout)
-	if err == nil && h.Owner == s.Instance && h.Epoch == claim.Epoch {
-		return &guavaowner.Chain{Head: h, Version: version}
+	if err != nil {
+		return nil
+	}
+	if applied, err := claim.Resolve(h, version); !applied || err != nil {
+		return nil
 	}
-	return nil
+	return claim
 }
 
 func (s *Scheduler) readHead(ctx context.Context, timeout time.Duration) (guavaowner.Head, uint64, error) {
--- a/guavascheduler/load.go
+++ b/guavascheduler/load.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -21,16 +21,16 @@
 
 // loadRows reads all rows of the shard. Meanwhile it commits heartbeats: a slow store
 // takes seconds to return the rows of a large shard, after which another daemon would
-// claim it, and load the rows in vain as well.
+// claim it, and load the rows in vain as well. The heartbeat that is in progress when
+// the rows are there goes on, as the term's commit in progress.
 func (t *term) loadRows(ctx context.Context) ([]guavascale.Row, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	prefixes := guavaqueue.RowPrefixes()
 	pages := make([][]guavascale.Row, len(prefixes))
-	g, ctx := errgroup.WithContext(ctx)
+	// The end of the scans cancels scanCtx and must not end a commit.
+	g, scanCtx := errgroup.WithContext(ctx)
 	for i, prefix := range prefixes {
 		g.Go(func() (err error) {
-			pages[i], err = t.scheduler.scanRows(ctx, prefix)
+			pages[i], err = t.scheduler.scanRows(scanCtx, prefix)
 			return err
 		})
 	}
@@ -38,26 +38,19 @@
 	go func() { loaded <- g.Wait() }()
 	heartbeat := time.NewTicker(guavaowner.Heartbeat)
 	defer heartbeat.Stop()
-	for {
+	for t.err == nil {
 		select {
 		case err := <-loaded:
-			var rows []guavascale.Row
-			for _, p := range pages {
-				rows = append(rows, p...)
-			}
-			return rows, err
+			return slices.Concat(pages...), err
+		case f := <-t.events:
+			f()
 		case <-heartbeat.C:
-			err := t.attemptCommit(ctx, nil, false)
-			var lost *guavaowner.LostError
-			if errors.As(err, &lost) {
-				return nil, err
-			}
-			if err != nil {
-				t.scheduler.Log.Warn().Uint64("Epoch", t.chain.Epoch).Uint64("Number", t.chain.Number).Err(err).
-					Msg("scheduler: a heartbeat during the load was given up")
+			if !t.committing {
+				t.commit(ctx, nil, false)
 			}
 		}
 	}
+	return nil, t.err
 }
 
 // scanRows reads all rows with a prefix.
