guavascheduler: a claim counts from when it was sent

A new owner took itself for the only one for readLease after it learned that its claim was applied, not after it sent the claim (runTerm's recordCommit of the present time). With a slow or lost answer another daemon, which has seen the head since the claim was applied, may own the shard meanwhile, while this one answers reads from memory and takes leases as expired.

Besides, a claim without an answer was sent again with other content under the same epoch and number; if the first copy was applied, the second one's time would have been taken. And a claim that was applied after the head had been read again was not recognized: the daemon waited until its own head was silent, for 1.2 s or more, and claimed the next epoch, with the leases of the owner before counted as those of an owner that has stopped.

So a claim is kept until its outcome is known or the head has changed. It is repeated unchanged, recognized by its ID in whatever round the head shows it, and counts from when it was first sent, or from the copy that was answered. The end of earlier leases is that of the head that the claim replaces. The code for claims moves to a file of its own.

Tests, before: with the present time TestTermCountsFromItsClaim fails ("Should be false"); with a new claim each time TestClaimCountsFromItsFirstAttempt fails in "repeated, answer lost" and "repeated, applied late"; without the look at the start of the next round in "applied after a while" and "repeated, applied late". Measured by undoing each part by itself, since the functions are new.

--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -76,6 +76,9 @@
 		// in Unix nanoseconds of Clock, or 0 if it never was.
 		ownerLostAt atomic.Int64
 		leaving     atomic.Bool
+		// sentClaim is the claim whose outcome is unknown, or nil. It is accessed by
+		// Run only.
+		sentClaim *claim
 		// relay is the work of this daemon for an owner, or nil.
 		relay atomic.Pointer[relaySession]
 		// stopped is closed when the daemon does not own the shard and will not
@@ -93,18 +96,8 @@
 	// headReadInterval is the interval between reads of the head row while the
 	// owner does not answer.
 	headReadInterval = 200 * time.Millisecond
-	// maxClaimDelay is the delay before the first claim of a hypothetical daemon
-	// with no processor time. A daemon with halfDelayStrength cores waits half as
-	// long. claimJitter is the maximum random delay that separates the claims of
-	// equal daemons.
-	maxClaimDelay     = 600 * time.Millisecond
-	halfDelayStrength = 0.3
-	claimJitter       = 150 * time.Millisecond
-	// tableTimeout is the timeout of a table read and claimTimeout that of a
-	// claim. If a claim times out, the head row is read to determine whether it
-	// was applied.
+	// tableTimeout is the timeout of a table read.
 	tableTimeout = 1500 * time.Millisecond
-	claimTimeout = 1200 * time.Millisecond
 	// staleCommitAge is the commit age above which the owner may be disconnected
 	// from the store. Heartbeats are committed every 500 ms.
 	staleCommitAge = 1200 * time.Millisecond
@@ -181,12 +174,12 @@
 				s.Log.Warn().Str("Owner", *addr).Bool("Refused", refused).Err(err).Msg("scheduler: no sign of life of the owner")
 			}
 		}
-		chain := s.tryClaim(ctx, c, refused)
-		if chain == nil {
+		claimed := s.tryClaim(ctx, c, refused)
+		if claimed == nil {
 			sleep(ctx, headReadInterval)
 			continue
 		}
-		s.runTerm(ctx, chain, s.leasesEnd(c))
+		s.runTerm(ctx, claimed)
 		c.Reset()
 	}
 }
@@ -220,51 +213,6 @@
 	return res.invited, res.err
 }
 
-// tryClaim reads the head row and claims the shard if it is free. It returns nil
-// unless this daemon now owns the shard.
-func (s *Scheduler) tryClaim(ctx context.Context, c *guavaowner.Candidate, refused bool) *guavaowner.Chain {
-	start := s.Clock.Now()
-	h, version, err := s.readHead(ctx, tableTimeout)
-	c.ReadTook = s.Clock.Now().Sub(start)
-	if err != nil {
-		// The owner may be disconnected from the store as well, so a head that
-		// has not changed in the meantime does not show that it is gone.
-		c.Reset()
-		return nil
-	}
-	if h.Owner == s.Instance && h.Left {
-		return nil
-	}
-	claim := c.Observe(s.Clock.Now(), h, version, refused)
-	if claim == nil {
-		if h.Left || h.Address == "" || h.Address == s.Address {
-			return nil
-		}
-		if _, err := s.peers.ping(ctx, h.Address, s.pingIn()); err == nil {
-			s.ownerAddr.Store(&h.Address)
-			s.Log.Info().Str("Owner", h.Owner).Uint64("Epoch", h.Epoch).Msg("scheduler: found the owner")
-		}
-		return nil
-	}
-	commit, err := claim.Next(newID(), nil, false, "")
-	if err == nil {
-		version, err = s.commit(ctx, commit, claimTimeout)
-	}
-	if err == nil {
-		claim.Applied(version)
-		return claim
-	}
-	s.Log.Info().Uint64("Epoch", claim.Epoch).Err(err).Msg("scheduler: the claim was not confirmed")
-	h, version, err = s.readHead(ctx, tableTimeout)
-	if err != nil {
-		return nil
-	}
-	if applied, err := claim.Resolve(h, version); !applied || err != nil {
-		return nil
-	}
-	return claim
-}
-
 func (s *Scheduler) readHead(ctx context.Context, timeout time.Duration) (guavaowner.Head, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -280,17 +228,6 @@
 	return h, row.Version, err
 }
 
-func claimDelay() time.Duration {
-	return time.Duration(rand.Float64() * float64(claimJitter))
-}
-
-// firstClaimDelay returns how long the daemon waits for stronger daemons to
-// claim a shard that has no head row yet.
-func (s *Scheduler) firstClaimDelay() time.Duration {
-	share := halfDelayStrength / (halfDelayStrength + s.Strength)
-	return time.Duration(share*float64(maxClaimDelay)) + claimDelay()
-}
-
 func (s *Scheduler) pingIn() pingIn {
 	return pingIn{Instance: s.Instance, Strength: s.Strength, Zone: s.Zone, CanRelay: !s.leaving.Load()}
 }
@@ -301,20 +238,14 @@
 	return s.Table.Commit(ctx, c)
 }
 
-// leasesEnd returns the time at which all leases of earlier owners must have ended.
-func (s *Scheduler) leasesEnd(c *guavaowner.Candidate) time.Time {
-	return c.LeasesEnd(s.Clock.Now(), s.Limits.OwnerLease, guavaqueue.LongestLease(s.Limits.LeaseMax)).Add(guavaqueue.LeaseExpiryMargin)
-}
-
-// runTerm runs a term until it ends. leasesEnd is the time at which all leases of
-// earlier owners must have ended.
-func (s *Scheduler) runTerm(ctx context.Context, chain *guavaowner.Chain, leasesEnd time.Time) {
+// runTerm runs the term of a claim until it ends.
+func (s *Scheduler) runTerm(ctx context.Context, c *claim) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t := &term{
 		scheduler: s,
-		engine:    guavaqueue.Engine{Token: chain.Epoch, Limits: s.Limits},
-		chain:     *chain,
+		engine:    guavaqueue.Engine{Token: c.chain.Epoch, Limits: s.Limits},
+		chain:     c.chain,
 		events:    make(chan func(), eventQueueSize),
 		done:      make(chan struct{}),
 		startedAt: s.Clock.Now(),
@@ -324,11 +255,11 @@
 	defer t.closePools()
 	defer t.hub.Close()
 	s.updateRelay(ctx, s.Address, false)
-	log := s.Log.With().Uint64("Epoch", chain.Epoch).Logger()
-	t.recordCommit(s.Clock.Now())
+	log := s.Log.With().Uint64("Epoch", c.chain.Epoch).Logger()
+	t.recordCommit(c.start)
 	rows, err := t.loadRows(ctx)
 	if err == nil {
-		err = t.engine.Restore(s.Clock.Now(), rows, leasesEnd)
+		err = t.engine.Restore(s.Clock.Now(), rows, c.leasesEnd)
 	}
 	if err != nil {
 		log.Error().Err(err).Msg("scheduler: failed to load the rows of the shard; giving up the claim")
