guavascheduler: an owner whose release may be applied answers no reads

An owner that releases the shard to a stronger daemon answered reads from memory for up to 1,080 ms after its last commit, also while the release was in flight. Its heir claims the shard as soon as the head says so; with the answer to the release lost, callers that still ask the former owner could be told that a submission of the new one doesn't exist. On shutdown reads already ended with the start of the release.

The owner counts as the only one again if the release was definitely refused.

TestReleasingOwnerServesNoReads failed before in "applied" (reads were served while the outcome was unknown and after).

--- a/guavascheduler/commit_test.go
+++ b/guavascheduler/commit_test.go
@@ -191,3 +191,34 @@
 		})
 	}
 }
+
+// Guards against an owner that answers reads after the release of the shard may have been
+// applied: its heir owns the shard at once.
+func TestReleasingOwnerServesNoReads(t *testing.T) {
+	cases := map[string]struct {
+		err    error
+		serves bool
+	}{
+		"applied": {},
+		"refused": {err: &guavascale.UnavailableError{System: "store", Op: "commit", Cause: errors.New("test")}, serves: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			tm := newTerm(&manualClock{}, &countingRunner{})
+			arrived, answer := make(chan struct{}), make(chan struct{})
+			tm.scheduler.Table = &scriptedTable{commits: []func(context.Context) (uint64, error){func(context.Context) (uint64, error) {
+				close(arrived)
+				<-answer
+				return 7, tc.err
+			}}}
+			now := tm.scheduler.Clock.Now()
+			require.True(t, tm.canServeReads(now))
+			tm.commit(t.Context(), nil, true)
+			<-arrived
+			assert.False(t, tm.canServeReads(now), "the outcome is unknown")
+			close(answer)
+			(<-tm.events)()
+			assert.Equal(t, tc.serves, tm.canServeReads(now))
+		})
+	}
+}
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -54,7 +54,10 @@
 	// repeated. It is accessed by the commit in progress only.
 	repeatCommitAfter time.Duration
 	committing        bool
-	lastSummary       time.Time
+	// releasing is set while the release may have been applied: a daemon that reads
+	// it claims the shard at once. Any goroutine may read it.
+	releasing   atomic.Bool
+	lastSummary time.Time
 	// startedAt is the start time of the term. yielding is set once the term is
 	// ending in favor of a stronger daemon.
 	startedAt time.Time
@@ -153,8 +156,11 @@
 // canServeReads reports whether it is certain that no other daemon has claimed
 // the shard, so that the engine's state is authoritative and leases expire as it
 // granted them. A daemon claims the shard only if the head row has not changed
-// for guavaowner.SilentFor or the owner has reported to its peers that commits fail.
-func (t *term) canServeReads(now time.Time) bool { return t.commitAge(now) < readLease }
+// for guavaowner.SilentFor, the owner has reported to its peers that commits fail, or
+// the head says that the owner has left.
+func (t *term) canServeReads(now time.Time) bool {
+	return t.commitAge(now) < readLease && !t.releasing.Load()
+}
 
 func (t *term) openPools() {
 	// NewPool fails only for invalid options.
@@ -277,6 +283,7 @@
 // and retries until the outcome is known.
 func (t *term) commit(ctx context.Context, b *guavaqueue.Batch, leave bool) {
 	t.committing = true
+	t.releasing.Store(leave)
 	go func() {
 		err := t.attemptCommit(ctx, b, leave)
 		t.post(func() {
@@ -293,6 +300,7 @@
 	switch {
 	case errors.As(err, &unavailable):
 		t.nextCommit = now.Add(commitRetryDelay)
+		t.releasing.Store(false)
 		if b != nil {
 			t.engine.Failed(now, b)
 		}
