guavalimit: numbers from outside have limits at the door

Callers saw no answer, and other callers the shard without an owner: a submission whose startAtMs lies after the year 9999 (microseconds instead of milliseconds) panicked the owner's term, as encodeRow can't encode its row. Other numbers passed through products that overflow (StartAt + K x Interval, milliseconds to a Duration, sums of estimates).

Class: a number from outside reaches arithmetic or storage that doesn't hold it. The owner checks them again, since daemons of an earlier version don't, and says so in a new field of its reply; those versions ignore it and answer 503 as before. The limits are such that no sum or product of accepted values overflows.

That no worker is large enough for a task stays a 503, since the fleet may change.

Ruled out: leaving out what JSON can't encode (the submission would start at another time than asked for).

--- a/guavaqueue/backlog.go
+++ b/guavaqueue/backlog.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavalimit"
 )
 
 // Backlog describes the waiting tasks of a queue that can run on the same workers, and
@@ -113,7 +114,7 @@
 
 // roomFor returns how many tasks of a size fit into the worker's declared capacity.
 func (w *worker) roomFor(size guavascale.Resources) int64 {
-	room := int64(maxTasks)
+	room := int64(guavalimit.MaxTasks)
 	for _, d := range [...]struct{ free, each int64 }{
 		{w.Capacity.MilliCores - w.used.MilliCores, size.MilliCores},
 		{w.Capacity.MemoryMB - w.used.MemoryMB, size.MemoryMB},
--- a/guavaqueue/rows_test.go
+++ b/guavaqueue/rows_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"guavascale.example/guavalimit"
 )
 
 // newBacklog returns a fleet with a commit in progress and more changed submissions
@@ -90,7 +92,7 @@
 // many tasks make it too large.
 func TestProgressRowIsBounded(t *testing.T) {
 	f := newFleet(t, 1)
-	f.submit(batchOf("a", 1, maxTasks, time.Second))
+	f.submit(batchOf("a", 1, guavalimit.MaxTasks, time.Second))
 	f.advance(100 * time.Millisecond)
 	s := f.engine.subs["a"]
 	for _, tk := range s.steps[0].tasks {
--- a/guavaqueue/submit.go
+++ b/guavaqueue/submit.go
@@ -6,25 +6,18 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavalimit"
 )
 
-const (
-	// maxTasks bounds the number of tasks of a submission so that its progress
-	// fits into one row.
-	maxTasks = 4000
-	// maxScheduledTasks bounds the tasks of all occurrences of a submission, which
-	// an owner keeps in memory.
-	maxScheduledTasks = 20_000
-	// maxDueOccurrences bounds how many occurrences of a submission are created
-	// in one call, as many may be due after a long outage.
-	maxDueOccurrences = 64
-)
+// maxDueOccurrences bounds how many occurrences of a submission are created in one
+// call, as many may be due after a long outage.
+const maxDueOccurrences = 64
 
 // Submit adds a submission. Reply is called once with the state when the
 // submission is durable; for a known ID that may be before Submit returns. It is
 // called with an empty state if the submission is withdrawn. Submit fails with
-// ValidationError if the submission is invalid or a task is larger than every
-// worker. The submission is not added then, and reply is not called.
+// ValidationError if the submission is invalid, and with RejectedError if a task is larger
+// than every worker. The submission is not added then, and reply is not called.
 func (e *Engine) Submit(now time.Time, s guavascale.Submission, reply func(guavascale.SubmissionState)) error {
 	if known := e.subs[s.ID]; known != nil {
 		if known.durable {
@@ -106,33 +99,15 @@
 }
 
 func (e *Engine) validate(s guavascale.Submission) error {
-	tasks := 0
-	for i, st := range s.Steps {
-		field := fmt.Sprintf("Steps[%d]", i)
-		if st.Count < 1 || st.Count > maxTasks {
-			return &guavascale.ValidationError{Field: field + ".Count", Value: fmt.Sprint(st.Count), Allowed: fmt.Sprintf("1 to %d", maxTasks)}
-		}
-		if min(st.Size.MilliCores, st.Size.MemoryMB, st.Size.Accelerators) < 0 {
-			return &guavascale.ValidationError{Field: field + ".Size", Value: fmt.Sprintf("%+v", st.Size), Allowed: "0 or more"}
-		}
-		for _, d := range st.After {
-			if d < 0 || d >= i {
-				return &guavascale.ValidationError{Field: field + ".After", Value: fmt.Sprint(d), Allowed: "indexes of earlier steps"}
-			}
-		}
-		tasks += st.Count
-		if !e.couldFit(s, &s.Steps[i]) {
-			return &guavascale.ValidationError{Field: field + ".Size", Value: fmt.Sprintf("%+v", st.Size), Allowed: "at most what a worker of the service holds"}
-		}
-	}
-	if tasks < 1 || tasks > maxTasks {
-		return &guavascale.ValidationError{Field: "Steps", Value: fmt.Sprintf("%d tasks", tasks), Allowed: fmt.Sprintf("1 to %d tasks", maxTasks)}
-	}
-	if s.Repeat < 0 || s.Repeat > maxScheduledTasks/tasks {
-		return &guavascale.ValidationError{Field: "Repeat", Value: fmt.Sprint(s.Repeat), Allowed: fmt.Sprintf("0 to %d with %d tasks", maxScheduledTasks/tasks, tasks)}
+	if err := guavalimit.Check(&s); err != nil {
+		return err
 	}
-	if s.Interval < 0 {
-		return &guavascale.ValidationError{Field: "Interval", Value: s.Interval.String(), Allowed: "0 or more"}
+	for i := range s.Steps {
+		if st := &s.Steps[i]; !e.couldFit(s, st) {
+			return fmt.Errorf("%w: %w", &guavascale.RejectedError{Reason: "no worker fits"}, &guavascale.ValidationError{
+				Field: fmt.Sprintf("Steps[%d].Size", i), Value: fmt.Sprintf("%+v", st.Size), Allowed: "at most what a worker of the service holds",
+			})
+		}
 	}
 	return nil
 }
--- a/guavascheduler/meters.go
+++ b/guavascheduler/meters.go
@@ -82,10 +82,13 @@
 	var (
 		rejected *guavascale.RejectedError
 		notFound *guavascale.NotFoundError
+		invalid  *guavascale.ValidationError
 	)
 	switch {
 	case errors.As(err, &rejected):
 		outcome = "Rejected"
+	case errors.As(err, &invalid):
+		outcome = "Invalid"
 	case errors.As(err, &notFound):
 		outcome = "NotFound"
 	case err != nil:
--- a/guavascheduler/peer.go
+++ b/guavascheduler/peer.go
@@ -69,6 +69,8 @@
 		RetryAfter time.Duration
 		State      guavascale.SubmissionState
 		Pending    int
+		// Invalid is set in the reply to a submission that is rejected as not valid.
+		Invalid *guavascale.ValidationError `cbor:",omitempty"`
 		// Relay is set in the reply to a ping if the owner wants the daemon as a
 		// relay.
 		Relay bool
--- a/guavascheduler/submissions.go
+++ b/guavascheduler/submissions.go
@@ -158,6 +158,8 @@
 			return r, nil
 		case r.Verdict == verdictNotFound:
 			return r, &guavascale.NotFoundError{Kind: "submission", Name: string(m)}
+		case r.Invalid != nil && !mayHaveApplied:
+			return r, r.Invalid
 		case r.Verdict == verdictRejected && !mayHaveApplied:
 			return r, &guavascale.RejectedError{Reason: r.Reason, RetryAfter: r.RetryAfter}
 		}
@@ -214,13 +216,23 @@
 			}
 			done(reply{Verdict: verdictDone})
 		})
-		var invalid *guavascale.ValidationError
-		if errors.As(err, &invalid) {
-			done(reply{Verdict: verdictRejected, Reason: invalid.Error(), RetryAfter: minRetryAfter})
+		if err != nil {
+			done(rejection(err))
 		}
 	})
 }
 
+// rejection returns the reply for a submission that the engine does not add. Only one that
+// can't become valid later is reported as not valid.
+func rejection(err error) reply {
+	r := reply{Verdict: verdictRejected, Reason: err.Error(), RetryAfter: minRetryAfter}
+	var rejected *guavascale.RejectedError
+	if !errors.As(err, &rejected) {
+		errors.As(err, &r.Invalid)
+	}
+	return r
+}
+
 func (s *Scheduler) stateLocal(id string, wait time.Duration) reply {
 	return s.runOnTerm(wait, func(t *term, done func(reply)) {
 		state, ok := t.engine.State(id)
