guavabinding: accepted work runs on when a version changes its route

Cause: a submission held the name of its route alone, and the owner looked that name up in the newest catalog for every decision; without an entry placeStep placed nothing. The name selects nothing for callers (Host and the longest prefix do), and a new owner had nothing else to go by.

Class: accepted work bound to a name that others may change, and decisions that need more than what is stored with the work. The same class elsewhere in queue, mended here: - GET PREFIX counted submissions by the name of the route, so a renamed route had none waiting (MIXED); - failures were not counted against maxAttempts while the name was unknown or before a version lowered it, and the next start was one too many (BUDGET); - the objective was computed once, under the first policy that was known.

Now: a daemon stores with the submission the declaration under which it took it (Submission.Origin, one optional field). Package guavabinding finds the queue in each version by address and name, then by address, then by name; if none is left, the newest known policy stays in force. Policies that are newer than what the submissions hold are stored in the row Bindings/all, which is bounded, so that the next owner knows what the earlier one did. Daemons of both versions read each other's rows and messages.

Since a policy is now known before the first catalog is read, a new owner starts nothing without a catalog: it wouldn't know the closed zones.

Ruled out: binding by host and prefix alone (a route that is moved keeps its name, and work of older daemons has no address); following a renamed route to another service (forbidden by ROUTE if the name identifies the queue); a fallback to any queue of the service (attempts and priorities of another queue).

--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -32,6 +32,8 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavabinding"
+	"guavascale.example/guavaobjective"
 )
 
 type (
@@ -43,9 +45,10 @@
 		Limits Limits
 
 		catalog *guavascale.Catalog
-		queues  map[string]*guavascale.Queue
-		subs    map[string]*submission
-		workers map[guavascale.WorkerID]*worker
+		// bindings tells which queue's policy applies to a submission.
+		bindings guavabinding.Book
+		subs     map[string]*submission
+		workers  map[guavascale.WorkerID]*worker
 		// workerList holds all workers, and pools the workers of each service. They
 		// spare a scheduling pass most of the map operations, which would be most of
 		// its cost for a thousand workers.
@@ -160,6 +163,8 @@
 
 	submission struct {
 		guavascale.Submission
+		// binding is nil if an earlier owner has ended the submission.
+		binding *guavabinding.Binding
 		// epoch is the token of the owner that accepted the submission.
 		epoch    uint64
 		accepted time.Time
@@ -192,11 +197,9 @@
 		// started is set once a worker has confirmed or reported a run.
 		started bool
 		removed bool
-		// objective is the time in which the submission should be completed, and
-		// remainingEstimates holds the estimated time from the start of each step
-		// to the end of the submission. Both are computed on first use.
-		objective          time.Duration
-		remainingEstimates []time.Duration
+		// chains holds the estimated time from the start of each step to the end of the
+		// submission. It is computed on first use.
+		chains []time.Duration
 	}
 
 	// step is a step of one occurrence.
@@ -216,8 +219,9 @@
 		// durations holds the durations of finished runs, shortest first.
 		durations []time.Duration
 		// urgency, priority and latest are the sort key of waiting steps.
-		urgency, priority int
-		latest            time.Time
+		urgency  guavaobjective.Urgency
+		priority int
+		latest   time.Time
 		// waitingSince is when the step was first seen with waiting tasks, or the time of
 		// its latest start after that; zero while no task waits.
 		waitingSince time.Time
@@ -432,13 +436,17 @@
 		return
 	}
 	e.catalog = c
-	e.queues = make(map[string]*guavascale.Queue, len(c.Queues))
-	for i := range c.Queues {
-		e.queues[c.Queues[i].Name] = &c.Queues[i]
-	}
+	e.bindings.SetCatalog(c, func(yield func(*guavabinding.Binding) bool) {
+		for _, s := range e.subs {
+			if !s.state.Ended() && !yield(s.binding) {
+				return
+			}
+		}
+	})
 }
 
-func (e *Engine) queue(s *submission) *guavascale.Queue { return e.queues[s.Queue] }
+// queue returns the newest known policy for a submission that has not ended, or nil.
+func (e *Engine) queue(s *submission) *guavascale.Queue { return s.binding.Queue() }
 
 func (t *task) ref() guavascale.TaskRef {
 	return guavascale.TaskRef{
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -260,7 +260,7 @@
 	}
 	e.emit(Event{
 		Kind: EventStart, Submission: t.step.sub.ID, Run: r.id, Worker: w.ID,
-		Reason: e.urgencyName(t.step), Age: now.Sub(t.step.sub.accepted),
+		Reason: t.step.urgency.String(), Age: now.Sub(t.step.sub.accepted),
 	})
 	e.sendStart(now, r)
 }
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -6,27 +6,21 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavabinding"
+	"guavascale.example/guavaobjective"
 )
 
 type (
 	// placementClass groups steps that can run on the same workers if their
 	// sizes are left out of account.
 	placementClass struct {
-		queue, label, kind       string
+		binding                  *guavabinding.Binding
+		label, kind              string
 		filler, service, starved bool
 	}
 )
 
 const (
-	urgencyInTime = iota
-	urgencyLate
-	urgencyTooLate
-)
-
-const (
-	// maxLateObjectives is how late a submission may be, in multiples of its
-	// objective, before its result is considered useless.
-	maxLateObjectives = 2
 	// sharedWorkerBonus prefers workers with services that a filler does not
 	// disturb, which leaves the others to tasks that need declared processors.
 	sharedWorkerBonus = 0.3
@@ -67,69 +61,26 @@
 	e.readySteps = kept
 }
 
-// rank computes the sort key of a waiting step. Steps that can still meet the
-// objective come first, then those that are late, then those that are too late
-// to be useful; within each group, by priority and objective.
+// rank computes the sort key of a waiting step: its urgency, then its priority and its
+// objective.
 func (e *Engine) rank(now time.Time, st *step) {
 	s := st.sub
 	q := e.queue(s)
 	if q == nil {
-		st.urgency, st.priority, st.latest = urgencyTooLate, 0, s.accepted
+		st.urgency, st.priority, st.latest = guavaobjective.TooLate, 0, s.accepted
 		return
 	}
-	if s.objective == 0 {
-		s.objective = time.Duration(q.Slack*float64(s.longestChainEstimate())) + q.Target
+	if s.chains == nil {
+		s.chains = guavaobjective.Chains(s.Steps)
 	}
-	st.priority, st.latest = q.Priority, s.accepted.Add(s.objective)
+	objective := guavaobjective.Objective(q, s.chains)
+	st.urgency, st.priority, st.latest = guavaobjective.InTime, q.Priority, s.accepted.Add(objective)
 	if s.Repeat > 0 {
-		st.latest = s.due(st.occurrence).Add(s.objective)
-	}
-	left := st.latest.Sub(now) - st.remainingEstimate()
-	switch {
-	case st.spec.Service || left >= 0:
-		st.urgency = urgencyInTime
-	case left >= -maxLateObjectives*s.objective:
-		st.urgency = urgencyLate
-	default:
-		st.urgency = urgencyTooLate
+		st.latest = s.due(st.occurrence).Add(objective)
 	}
-}
-
-// urgencyName returns the name of the step's urgency in the latest scheduling
-// pass.
-func (e *Engine) urgencyName(st *step) string {
-	return [...]string{"InTime", "Late", "TooLate"}[st.urgency]
-}
-
-// longestChainEstimate returns the estimated duration of the longest dependency
-// chain of steps.
-func (s *submission) longestChainEstimate() time.Duration {
-	ends := make([]time.Duration, len(s.Steps))
-	longest := time.Duration(0)
-	for i := range s.Steps {
-		for _, d := range s.Steps[i].After {
-			ends[i] = max(ends[i], ends[d])
-		}
-		ends[i] += s.Steps[i].Estimate
-		longest = max(longest, ends[i])
+	if !st.spec.Service {
+		st.urgency = guavaobjective.Rate(st.latest.Sub(now), s.chains[st.index], objective)
 	}
-	return longest
-}
-
-// remainingEstimate returns the estimated duration of the longest dependency
-// chain that begins with the step.
-func (st *step) remainingEstimate() time.Duration {
-	s := st.sub
-	if s.remainingEstimates == nil {
-		s.remainingEstimates = make([]time.Duration, len(s.Steps))
-		for i := len(s.Steps) - 1; i >= 0; i-- {
-			s.remainingEstimates[i] += s.Steps[i].Estimate
-			for _, d := range s.Steps[i].After {
-				s.remainingEstimates[d] = max(s.remainingEstimates[d], s.remainingEstimates[i])
-			}
-		}
-	}
-	return s.remainingEstimates[st.index]
 }
 
 func (e *Engine) placeStep(now time.Time, st *step) {
@@ -152,6 +103,10 @@
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.inherited && !e.inheritedRunsKnown() {
 			continue
 		}
+		if e.attemptsUsedUp(t) {
+			e.end(now, st.sub, guavascale.SubmissionFailed)
+			return
+		}
 		var w *worker
 		switch {
 		case len(t.avoidWorkers) > 0 || t.crashes > 0:
@@ -179,6 +134,10 @@
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.inherited && !e.inheritedRunsKnown() {
 			return
 		}
+		if e.attemptsUsedUp(t) {
+			e.end(now, st.sub, guavascale.SubmissionFailed)
+			return
+		}
 		attempt = max(attempt, t.attempt)
 	}
 	checkpoint := ""
@@ -221,9 +180,10 @@
 		!now.Before(w.backoffUntil) && w.pendingStarts < maxPendingStarts && e.acceptsRuns(w)
 }
 
-// acceptsRuns reports whether the platform allows new runs on the worker.
+// acceptsRuns reports whether the platform allows new runs on the worker. Without a
+// catalog, closed zones are not known.
 func (e *Engine) acceptsRuns(w *worker) bool {
-	return !w.Leaving && (e.catalog == nil || !e.catalog.Closed[w.Zone])
+	return !w.Leaving && e.catalog != nil && !e.catalog.Closed[w.Zone]
 }
 
 // choose returns the worker for a task of the step, or nil. It prefers workers
@@ -302,7 +262,7 @@
 }
 
 func placementClassOf(st *step) placementClass {
-	return placementClass{queue: st.sub.Queue, label: st.spec.Label, kind: st.spec.Kind, filler: st.spec.Filler, service: st.spec.Service, starved: st.starved}
+	return placementClass{binding: st.sub.binding, label: st.spec.Label, kind: st.spec.Kind, filler: st.spec.Filler, service: st.spec.Service, starved: st.starved}
 }
 
 // score rates a worker that has room for a task of the step; higher is better. It
--- a/guavaqueue/ranking_test.go
+++ b/guavaqueue/ranking_test.go
@@ -47,7 +47,7 @@
 					e.addCandidate(f.now, w)
 				}
 				e.reserveWorkers()
-				st, q := e.subs["x"].steps[0], e.queues["fast"]
+				st, q := e.subs["x"].steps[0], e.queue(e.subs["x"])
 				ranked := e.rankWorkers(f.now, st, q)
 				for i, tk := range st.tasks {
 					clear(e.fullSizes)
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -20,6 +20,8 @@
 		// missing is the set of recorded missing workers, or nil if the batch
 		// doesn't write it.
 		missing map[guavascale.WorkerID]bool
+		// bindings is set if the batch writes the bindings.
+		bindings bool
 	}
 
 	// submissionRow is the content of a row "Submission/<id>", which never
@@ -78,6 +80,7 @@
 	progressPrefix   = "Progress/"
 	fleetKey         = "Fleet/all"
 	kindsKey         = "Kinds/all"
+	bindingsKey      = "Bindings/all"
 	// kindsInterval is the minimum time between writes of the interference
 	// model. It is stored so that a new owner need not learn it again.
 	kindsInterval = 3 * time.Second
@@ -98,7 +101,9 @@
 )
 
 // RowPrefixes returns the key prefixes of all rows of a shard.
-func RowPrefixes() []string { return []string{"Fleet/", "Kinds/", submissionPrefix, progressPrefix} }
+func RowPrefixes() []string {
+	return []string{"Fleet/", "Kinds/", "Bindings/", submissionPrefix, progressPrefix}
+}
 
 // StateKeys returns the keys of the rows that hold the state of a submission.
 func StateKeys(id string) (submission, progress string) {
@@ -130,7 +135,7 @@
 // Batch returns the rows to commit now, or nil. The owner commits one batch at a
 // time and reports the outcome with Committed or Failed.
 func (e *Engine) Batch(now time.Time) *Batch {
-	if !e.fleetDirty && !e.missing.due(now) && !e.urgent && (e.dirtySince.IsZero() || now.Sub(e.dirtySince) < commitDelay) {
+	if !e.fleetDirty && !e.bindings.Unsaved && !e.missing.due(now) && !e.urgent && (e.dirtySince.IsZero() || now.Sub(e.dirtySince) < commitDelay) {
 		return nil
 	}
 	b := &Batch{}
@@ -163,6 +168,10 @@
 		e.kindsWrittenAt, e.interference.changed = now, false
 		bytes += b.add(kindsKey, e.interference.toRow())
 	}
+	if e.bindings.Unsaved {
+		b.bindings = true
+		bytes += b.addEncoded(bindingsKey, e.bindings.Encode(maxRowBytes))
+	}
 	taken := 0
 	dirty := e.takeDirty()
 	for _, s := range dirty {
@@ -297,6 +306,7 @@
 func (e *Engine) Failed(now time.Time, b *Batch) {
 	e.fleetDirty = e.fleetDirty || b.fleet != nil
 	e.missing.dirty = e.missing.dirty || b.missing != nil
+	e.bindings.Unsaved = e.bindings.Unsaved || b.bindings
 	for _, s := range b.subs {
 		s.committing = false
 		if !s.durable {
@@ -434,6 +444,10 @@
 			for _, id := range fr.Workers {
 				e.fleet[id] = true
 			}
+		case r.Key == bindingsKey:
+			if err := e.bindings.Restore(r.Value); err != nil {
+				return fmt.Errorf("row %q: %w", r.Key, err)
+			}
 		case r.Key == missingKey:
 			if err := json.Unmarshal(r.Value, &recorded); err != nil {
 				return fmt.Errorf("decode row %q: %w", r.Key, err)
@@ -452,6 +466,7 @@
 		s.state, s.ended, s.started = pr.State, time.UnixMilli(pr.EndedMs), true
 		return
 	}
+	s.binding = e.bindings.Bind(&s.Submission)
 	e.addOccurrences(now, s)
 	for _, sr := range pr.Steps {
 		for sr.Occurrence >= s.occurrences {
--- a/guavaqueue/starvation.go
+++ b/guavaqueue/starvation.go
@@ -1,6 +1,10 @@
 package guavaqueue
 
-import "time"
+import (
+	"time"
+
+	"guavascale.example/guavaobjective"
+)
 
 // Assumed workload: more fillers wait than the workers without services can run for tens
 // of seconds. In the order of urgency, the submissions that are too late for their
@@ -25,7 +29,7 @@
 	after := starvationTime
 	e.overcommit = overcommit
 	for _, st := range e.readySteps {
-		if st.spec.Filler && st.urgency == urgencyInTime {
+		if st.spec.Filler && st.urgency == guavaobjective.InTime {
 			after = sharedStarvationTime
 			e.overcommit = sharedOvercommit
 			break
--- a/guavaqueue/submit.go
+++ b/guavaqueue/submit.go
@@ -27,10 +27,10 @@
 		}
 		return nil
 	}
-	if err := e.validate(s); err != nil {
+	sub := &submission{Submission: s, binding: e.bindings.Bind(&s), epoch: e.Token, accepted: now, state: guavascale.SubmissionQueued}
+	if err := e.validate(sub); err != nil {
 		return err
 	}
-	sub := &submission{Submission: s, epoch: e.Token, accepted: now, state: guavascale.SubmissionQueued}
 	sub.row = encodeRow(submissionPrefix+s.ID, submissionRow{Submission: s, Epoch: e.Token, AcceptedMs: now.UnixMilli()})
 	if len(sub.row) > maxRowBytes {
 		return &guavascale.ValidationError{Field: "Submission", Value: fmt.Sprintf("%d bytes", len(sub.row)), Allowed: fmt.Sprintf("up to %d bytes", maxRowBytes)}
@@ -77,10 +77,10 @@
 
 // Pending returns the number of accepted submissions of a queue of which no task
 // is known to have started.
-func (e *Engine) Pending(queue string) int {
+func (e *Engine) Pending(q guavascale.Queue) int {
 	n := 0
 	for _, s := range e.subs {
-		if s.Queue == queue && s.durable && !s.started && !s.state.Ended() {
+		if s.durable && !s.started && !s.state.Ended() && s.binding.Serves(&q) {
 			n++
 		}
 	}
@@ -98,8 +98,8 @@
 	reply(s.state)
 }
 
-func (e *Engine) validate(s guavascale.Submission) error {
-	if err := guavalimit.Check(&s); err != nil {
+func (e *Engine) validate(s *submission) error {
+	if err := guavalimit.Check(&s.Submission); err != nil {
 		return err
 	}
 	for i := range s.Steps {
@@ -114,8 +114,8 @@
 
 // couldFit reports whether some worker of the service could run a task of the
 // step if it were idle. It is true while no worker of the service is known.
-func (e *Engine) couldFit(s guavascale.Submission, st *guavascale.Step) bool {
-	q := e.queues[s.Queue]
+func (e *Engine) couldFit(s *submission, st *guavascale.Step) bool {
+	q := e.queue(s)
 	if q == nil {
 		return true
 	}
--- a/guavaqueue/submit_test.go
+++ b/guavaqueue/submit_test.go
@@ -20,10 +20,10 @@
 	f.submit(batchOf("a", 1, 1, time.Second))
 	f.advance(200 * time.Millisecond)
 	require.Equal(t, 1, f.engine.Stats(f.now).Runs, "the start was ordered")
-	assert.Equal(t, 1, f.engine.Pending("fast"))
+	assert.Equal(t, 1, f.engine.Pending(guavascale.Queue{Name: "fast"}))
 	f.workers["w0"].unreachable = false
 	f.advance(3 * time.Second)
-	assert.Zero(t, f.engine.Pending("fast"))
+	assert.Zero(t, f.engine.Pending(guavascale.Queue{Name: "fast"}))
 }
 
 // Guards against an older catalog that arrives late and replaces a newer one. A
@@ -42,7 +42,8 @@
 			e := &Engine{}
 			e.SetCatalog(&guavascale.Catalog{Version: 5})
 			e.SetCatalog(&guavascale.Catalog{Version: tc.version, Queues: []guavascale.Queue{{Name: "q"}}})
-			assert.Equal(t, tc.want, e.queues["q"] != nil)
+			require.NoError(t, e.Submit(testEpoch, guavascale.Submission{ID: "a", Queue: "q", Steps: []guavascale.Step{{Count: 1}}}, func(guavascale.SubmissionState) {}))
+			assert.Equal(t, tc.want, e.queue(e.subs["a"]) != nil)
 		})
 	}
 }
--- a/guavaqueue/takeover_test.go
+++ b/guavaqueue/takeover_test.go
@@ -45,7 +45,7 @@
 		}
 	}
 	assert.Empty(t, w.runs)
-	assert.Equal(t, 1, f.engine.Pending("fast"))
+	assert.Equal(t, 1, f.engine.Pending(guavascale.Queue{Name: "fast"}))
 }
 
 // Guards against tasks of a lost zone that stay down because each new owner waits for
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -409,20 +409,25 @@
 	s := t.step.sub
 	e.markDirty(now, s, false)
 	t.notBefore = now.Add(time.Duration(len(t.failed)) * retryDelay)
-	q := e.queue(s)
+	if e.attemptsUsedUp(t) {
+		e.end(now, s, guavascale.SubmissionFailed)
+	}
+}
+
+// attemptsUsedUp reports whether the task, or a member of its gang, has failed as often
+// as the newest known policy allows, which may be another one than at the failures.
+func (e *Engine) attemptsUsedUp(t *task) bool {
+	q := e.queue(t.step.sub)
 	if t.step.spec.Service || q == nil || q.MaxAttempts <= 0 {
-		return
+		return false
 	}
 	failures := len(t.failed)
 	if t.step.spec.Gang {
-		failures = 0
 		for _, m := range t.step.tasks {
 			failures = max(failures, len(m.failed))
 		}
 	}
-	if failures >= min(q.MaxAttempts, maxFailures) {
-		e.end(now, s, guavascale.SubmissionFailed)
-	}
+	return failures >= min(q.MaxAttempts, maxFailures)
 }
 
 // markLost removes a run that can't be running any more and queues its task
--- a/guavascheduler/peer.go
+++ b/guavascheduler/peer.go
@@ -58,8 +58,12 @@
 	}
 
 	idIn struct {
+		// ID is that of a submission, or the name of a queue.
 		ID   string
 		Wait time.Duration
+		// Queue is the queue that the sender's catalog declares under that name;
+		// older daemons send none.
+		Queue guavascale.Queue `cbor:",omitzero"`
 	}
 
 	// reply is the result of every call.
@@ -236,7 +240,8 @@
 	case methodCancel:
 		return s.cancelLocal(in.ID, in.Wait), nil
 	case methodPending:
-		return s.pendingLocal(in.ID, in.Wait), nil
+		in.Queue.Name = in.ID
+		return s.pendingLocal(in.Queue, in.Wait), nil
 	default:
 		return reply{}, fmt.Errorf("method %q does not exist", env.Method)
 	}
--- a/guavascheduler/submissions.go
+++ b/guavascheduler/submissions.go
@@ -106,14 +106,16 @@
 
 // Pending returns the number of waiting submissions in a queue, as reported by
 // the owner.
-func (s *Scheduler) Pending(ctx context.Context, queue string) (int, error) {
-	r, err := s.forwardID(ctx, methodPending, queue, s.pendingLocal)
+func (s *Scheduler) Pending(ctx context.Context, q guavascale.Queue) (int, error) {
+	r, err := s.forward(ctx, methodPending, q.Name, func(wait time.Duration) (any, func() reply) {
+		return idIn{ID: q.Name, Wait: wait, Queue: q}, func() reply { return s.pendingLocal(q, wait) }
+	})
 	return r.Pending, err
 }
 
 func (s *Scheduler) forwardID(ctx context.Context, m method, id string, local func(string, time.Duration) reply) (reply, error) {
 	return s.forward(ctx, m, id, func(wait time.Duration) (any, func() reply) {
-		return idIn{id, wait}, func() reply { return local(id, wait) }
+		return idIn{ID: id, Wait: wait}, func() reply { return local(id, wait) }
 	})
 }
 
@@ -263,12 +265,12 @@
 	})
 }
 
-func (s *Scheduler) pendingLocal(queue string, wait time.Duration) reply {
+func (s *Scheduler) pendingLocal(q guavascale.Queue, wait time.Duration) reply {
 	return s.runOnTerm(wait, func(t *term, done func(reply)) {
 		if t.commitAge(s.Clock.Now()) > maxPendingAge {
 			done(reply{Verdict: verdictUnknown})
 			return
 		}
-		done(reply{Verdict: verdictDone, Pending: t.engine.Pending(queue)})
+		done(reply{Verdict: verdictDone, Pending: t.engine.Pending(q)})
 	})
 }
--- a/submission.go
+++ b/submission.go
@@ -14,6 +14,9 @@
 	Submission struct {
 		ID    string
 		Queue string
+		// Origin is the declaration of the queue under which a daemon took the
+		// submission; zero if a daemon without this field did.
+		Origin Origin `json:",omitzero"`
 		// Payload is passed to every task unchanged.
 		Payload string
 		Steps   []Step
@@ -80,7 +83,7 @@
 		Cancel(ctx context.Context, id string) error
 		// Pending returns the number of accepted submissions of a queue of
 		// which no task has started.
-		Pending(ctx context.Context, queue string) (int, error)
+		Pending(ctx context.Context, q Queue) (int, error)
 	}
 
 	// RejectedError reports that a request was rejected and has no effect.
@@ -124,6 +127,12 @@
 		Advised bool
 	}
 
+	// Origin is a queue as a version of the catalog declares it.
+	Origin struct {
+		Version uint64
+		Queue   Queue
+	}
+
 	// Pool describes the workers of a service.
 	Pool struct {
 		Service string
