guavaqueue: services move within a window of the workers

The choice of a worker to vacate looked at every worker of the pool, and a list of backlogs had 32 kinds, each checked against every worker: work that grows with the fleet. A window of 256 workers, the next one each time, bounds the first; the list has at most 8 kinds. The demand counts in proportion.

--- a/guavaqueue/backlog.go
+++ b/guavaqueue/backlog.go
@@ -34,7 +34,7 @@
 	// backlog.
 	backlogWait = 2 * time.Second
 	// maxBacklogs bounds the length of a list of backlogs.
-	maxBacklogs = 32
+	maxBacklogs = 8
 )
 
 // Backlogs returns the waiting tasks of steps that have had no start for some time although
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -300,6 +300,8 @@
 		// listed counts the listed workers, spare those without services on which
 		// services may still be started.
 		listed, spare int
+		// windowStart is the index in candidates at which the next window begins.
+		windowStart int
 	}
 
 	worker struct {
--- a/guavaqueue/vacate.go
+++ b/guavaqueue/vacate.go
@@ -1,7 +1,6 @@
 package guavaqueue
 
 import (
-	"fmt"
 	"time"
 
 	"guavascale.example/guavavacancy"
@@ -14,9 +13,12 @@
 	vacateAfter = 2 * time.Second
 	// vacatedTime is how long services avoid a worker that was vacated.
 	vacatedTime = 10 * time.Second
-	// maxMoving bounds the services of a pool that are starting or stopping. Each of them
+	// maxMoving bounds the services of a window that are starting or stopping. Each of them
 	// needs the processors and the owner's time that others wait for.
 	maxMoving = 8
+	// vacancyWindow is the number of workers among which services move at a time, so that
+	// the cost doesn't grow with the fleet.
+	vacancyWindow = 256
 )
 
 // vacate moves the services of a worker to others if fillers wait for a worker without
@@ -39,27 +41,44 @@
 		demands[p][st.spec.Kind] += int64(st.waiting) * st.spec.Size.MilliCores
 	}
 	for p, milliCores := range demands {
-		if e.movingServices(p) >= maxMoving {
+		window := p.window()
+		if len(window) == 0 || movingServices(window) >= maxMoving {
 			continue
 		}
 		var list []guavavacancy.Demand
 		for kind, waiting := range milliCores {
-			list = append(list, guavavacancy.Demand{MilliCores: waiting, Excluded: e.excludedServices(now, kind)})
+			share := waiting * int64(len(window)) / int64(len(p.candidates))
+			list = append(list, guavavacancy.Demand{MilliCores: share, Excluded: e.excludedServices(now, kind)})
 		}
-		workers := make([]guavavacancy.Worker, len(p.candidates))
-		for i, w := range p.candidates {
+		workers := make([]guavavacancy.Worker, len(window))
+		for i, w := range window {
 			workers[i] = w.vacancy(now)
 		}
 		if i := guavavacancy.Choose(workers, list); i >= 0 {
-			e.vacateWorker(now, p.candidates[i])
+			e.vacateWorker(now, window[i])
 		}
 	}
 }
 
-// movingServices counts the services of a pool that are starting or stopping.
-func (e *Engine) movingServices(p *pool) int {
+// window returns the candidates among which services move now. The next call returns
+// others, if there are more.
+func (p *pool) window() []*worker {
+	if len(p.candidates) <= vacancyWindow {
+		return p.candidates
+	}
+	if p.windowStart >= len(p.candidates) {
+		p.windowStart = 0
+	}
+	end := min(p.windowStart+vacancyWindow, len(p.candidates))
+	window := p.candidates[p.windowStart:end]
+	p.windowStart = end
+	return window
+}
+
+// movingServices counts the services that are starting or stopping on the workers.
+func movingServices(workers []*worker) int {
 	n := 0
-	for _, w := range p.candidates {
+	for _, w := range workers {
 		if w.serviceMilliCores == 0 {
 			continue
 		}
@@ -86,7 +105,7 @@
 			continue
 		}
 		v.Services = append(v.Services, guavavacancy.Service{
-			Kind: st.spec.Kind, Size: st.spec.Size, Step: fmt.Sprintf("%s.%d.%d", st.sub.ID, st.occurrence, st.index),
+			Kind: st.spec.Kind, Size: st.spec.Size, Step: st,
 			MaxAway: max(st.spec.MaxAway, 1) - st.away(), PerWorker: st.spec.MaxPerWorker, Label: st.spec.Label,
 		})
 	}
--- a/guavavacancy/guavavacancy.go
+++ b/guavavacancy/guavavacancy.go
@@ -27,8 +27,8 @@
 	Service struct {
 		Kind string
 		Size guavascale.Resources
-		// Step identifies the step of the task.
-		Step string
+		// Step identifies the step of the task. It must be comparable.
+		Step any
 		// MaxAway is how many more tasks of the step may be down now.
 		MaxAway int
 		// PerWorker is the most tasks of the step on one worker, 0 for no limit.
@@ -122,7 +122,7 @@
 
 // movable reports whether all services of a worker may be down at once.
 func movable(w *Worker) bool {
-	down := make(map[string]int)
+	down := make(map[any]int)
 	for _, s := range w.Services {
 		if down[s.Step]++; down[s.Step] > s.MaxAway {
 			return false
@@ -139,7 +139,7 @@
 // services already, without keeping a waiting filler off any of these.
 func fitsElsewhere(from *Worker, workers []Worker, demands []Demand) bool {
 	free := make(map[guavascale.WorkerID]guavascale.Resources)
-	added := make(map[guavascale.WorkerID]map[string]int)
+	added := make(map[guavascale.WorkerID]map[any]int)
 	services := slices.Clone(from.Services)
 	slices.SortStableFunc(services, func(a, b Service) int { return cmp.Compare(b.Size.MilliCores, a.Size.MilliCores) })
 	for _, s := range services {
@@ -164,7 +164,7 @@
 		id := workers[to].ID
 		free[id] = left.Sub(s.Size)
 		if added[id] == nil {
-			added[id] = make(map[string]int)
+			added[id] = make(map[any]int)
 		}
 		added[id][s.Step]++
 	}
