guavarow: rows have a bound, and a row that is refused stops alone

A recurring submission's progress listed each task that was ever done. After some 2,100 occurrences the store refused its row with 413, and with it each commit of the owner and of each next one: the refusal was taken for a store that is unavailable, so the same batch was repeated, without a heartbeat.

Class: state that only use bounds, and one item whose failure is taken for that of all.

guavarow encodes and decodes all rows with a bound by construction. Progress that doesn't fit becomes a number of tasks done in front, a bit per task, and half a byte per task for failures and crashes if the numbers of attempts don't fit; checkpoints fill what is left, one by one (all were left out before). Its cost grows with what is under way as well. The fleet is split over up to eight rows, and workers beyond get no starts; the estimates of interference leave out the least suspicious pairs, the missing workers those that don't fit.

During an update: the earlier form stays while it fits. If not, the earlier version could not have written the row either, and it fails to decode the other form, so it gives up the shard instead of starting done tasks again; the daemons of this version claim it. New in the store: Steps of Progress/<id> and Workers of Fleet/all as objects, Fleet/part-1 to -7.

platform/store.go tells a refusal of the content (RefusedError) from a store that is unavailable. guavarefusal halves the refused batch until one submission is left; every second commit is for those that nothing is known against. One that is found is set aside (SetAside: rows, sizes, refusal): it starts nothing and is tried again. Refusals count only if other commits succeeded in between. After five of them it fails, a row of a few bytes: its unacknowledged ends would keep workers from forgetting those of others. A new submission is answered 503 only if the store has nothing of it; an attempt with an unknown outcome before the refusal is settled by the head. A row that can't be encoded is one submission's error; one that can't be decoded stops only its submission.

Ruled out: more rows per submission (an earlier version would read a part of the progress), fewer occurrences at a time (services of a recurring submission never end).

Changes to tests: "too large" of TestStoreOutcomes expected status 400 to be an UnavailableError that was not applied, which is the fault; four statuses have to be a RefusedError and no UnavailableError now. TestProgressRowIsBounded calls the function by its new name. The queue's simulated store can refuse rows.

--- a/errors.go
+++ b/errors.go
@@ -41,6 +41,17 @@
 		Cause   error
 	}
 
+	// RefusedError reports that an external system refuses the content of a request
+	// and would refuse it again. The request had no effect.
+	RefusedError struct {
+		// System and Op are those of an UnavailableError.
+		System string
+		Op     string
+		// Bytes is the size of the content.
+		Bytes int
+		Cause error
+	}
+
 	// OrderError reports that a worker rejected an Orders message as a whole.
 	OrderError struct {
 		Worker WorkerID
@@ -98,6 +109,13 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("%s refused the content of %s (%d bytes): %v", e.System, e.Op, e.Bytes, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Cause }
+
 func (e *OrderError) Error() string {
 	return fmt.Sprintf("worker %q rejected the orders: %s", e.Worker, e.Reason)
 }
--- a/guavaqueue/events.go
+++ b/guavaqueue/events.go
@@ -51,6 +51,11 @@
 	EventCrash EventKind = "WorkerCrashed"
 	// EventPairExcluded is a filler kind that may no longer run beside a service kind.
 	EventPairExcluded EventKind = "PairExcluded"
+	// EventSetAside is a submission, or rows that are not of a submission, that the store
+	// refuses for good or that can't be encoded. Reason names the rows, Value their size.
+	EventSetAside EventKind = "SetAside"
+	// EventRowCut is a row of progress that lacks the details in Reason.
+	EventRowCut EventKind = "RowCut"
 )
 
 // maxEvents bounds the number of buffered events. Further events are only
--- a/guavaqueue/fleet_test.go
+++ b/guavaqueue/fleet_test.go
@@ -28,6 +28,10 @@
 		rows    map[string][]byte
 		// storeDown makes the store refuse commits.
 		storeDown bool
+		// refuses, unless nil, reports whether the store refuses a row for good. The
+		// table has refused so many batches.
+		refuses func(guavascale.Write) bool
+		refused int
 		// lastCommit is the time of the last commit or heartbeat.
 		lastCommit time.Time
 		// otherOwnerPossible is set while another daemon may own the shard.
@@ -554,6 +558,11 @@
 		f.engine.Failed(f.now, b)
 		return
 	}
+	if f.refuses != nil && slices.ContainsFunc(b.Writes, f.refuses) {
+		f.refused++
+		f.engine.Refused(f.now, f.lastCommit, b, errTooLarge)
+		return
+	}
 	for _, w := range b.Writes {
 		if w.Delete {
 			delete(f.rows, w.Key)
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -34,6 +34,8 @@
 	"guavascale.example"
 	"guavascale.example/guavabinding"
 	"guavascale.example/guavaobjective"
+	"guavascale.example/guavarefusal"
+	"guavascale.example/guavarow"
 )
 
 type (
@@ -85,6 +87,14 @@
 		// fleet is the durable set of workers that may hold runs.
 		fleet      map[guavascale.WorkerID]bool
 		fleetDirty bool
+		// refusals holds the submissions that were in a commit that the store has refused
+		// for good, or that can't be encoded or read.
+		refusals guavarefusal.Ledger[*submission]
+		// sharedRowsRefused is set while rows that are not of a submission are committed
+		// without others, since such a commit was refused for good, and sharedRetryAt is
+		// the earliest time of the next one.
+		sharedRowsRefused bool
+		sharedRetryAt     time.Time
 		// missing holds the workers of an earlier owner's fleet that have not
 		// answered yet.
 		missing missingWorkers
@@ -178,6 +188,8 @@
 		// row is the encoded row until it is durable.
 		row   []byte
 		steps []*step
+		// doneSteps is the number of the first steps of which all tasks are done.
+		doneSteps int
 		// occurrences is the number of occurrences that have become due.
 		occurrences int
 		// dirty is set when changes are not part of a batch yet, committing while
@@ -197,6 +209,8 @@
 		// started is set once a worker has confirmed or reported a run.
 		started bool
 		removed bool
+		// cut is what the latest progress row lacks.
+		cut guavarow.Cut
 		// chains holds the estimated time from the start of each step to the end of the
 		// submission. It is computed on first use.
 		chains []time.Duration
--- a/guavaqueue/interfere.go
+++ b/guavaqueue/interfere.go
@@ -157,7 +157,9 @@
 func (p *interferenceModel) toRow() kindsRow {
 	var row kindsRow
 	for k, v := range p.pairs {
-		row.Pairs = append(row.Pairs, pairRow{k.service, k.filler, math.Round(v.probability*100) / 100, v.exclusions})
+		row.Pairs = append(row.Pairs, pairRow{
+			Service: k.service, Filler: k.filler, Suspicion: math.Round(v.probability*100) / 100, Strikes: v.exclusions,
+		})
 	}
 	return row
 }
--- a/guavaqueue/missing.go
+++ b/guavaqueue/missing.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavarow"
 )
 
 // Assumed failures: a zone with workers and the owner is lost, and the next owner is
@@ -29,27 +30,15 @@
 		dirty     bool
 		writtenAt time.Time
 	}
-
-	// missingRow is the content of the row "Fleet/missing". It is valid for the
-	// owner that follows the one with Token.
-	missingRow struct {
-		Token uint64
-		// WaitMs holds, by worker, the time from the commit of the row until the
-		// worker's leases must have expired.
-		WaitMs map[guavascale.WorkerID]int64 `json:",omitempty"`
-	}
 )
 
-const (
-	missingKey = "Fleet/missing"
-	// missingInterval is the time between writes of the row while workers are
-	// missing. Those that live answer before the first one.
-	missingInterval = time.Second
-)
+// missingInterval is the time between writes of the row while workers are
+// missing. Those that live answer before the first one.
+const missingInterval = time.Second
 
 // restore sets the workers of a fleet as missing until a given time, or for the time
 // that the previous owner recorded.
-func (m *missingWorkers) restore(now time.Time, fleet map[guavascale.WorkerID]bool, until time.Time, row missingRow, token uint64) {
+func (m *missingWorkers) restore(now time.Time, fleet map[guavascale.WorkerID]bool, until time.Time, row guavarow.Missing, token uint64) {
 	m.writtenAt = now
 	m.until = make(map[guavascale.WorkerID]time.Time, len(fleet))
 	for id := range fleet {
@@ -101,18 +90,16 @@
 	return m.dirty || len(m.until) > 0 && now.Sub(m.writtenAt) >= missingInterval
 }
 
-// write adds the row to a batch and returns its size.
-func (m *missingWorkers) write(now time.Time, token uint64, b *Batch) int {
+// encode returns the value of the row for a batch.
+func (m *missingWorkers) encode(now time.Time, token uint64, b *Batch) ([]byte, error) {
 	m.dirty, m.writtenAt = false, now
-	row := missingRow{Token: token, WaitMs: make(map[guavascale.WorkerID]int64, len(m.until))}
+	row := guavarow.Missing{Token: token, WaitMs: make(map[guavascale.WorkerID]int64, len(m.until))}
 	for id, until := range m.until {
 		row.WaitMs[id] = until.Sub(now).Milliseconds() + 1
 	}
-	data := encodeRow(missingKey, row)
-	if len(data) > maxRowBytes {
-		// Too many workers are missing to record them.
-		row.WaitMs = nil
-		data = encodeRow(missingKey, row)
+	data, err := guavarow.EncodeMissing(&row)
+	if err != nil {
+		return nil, err
 	}
 	b.missing = make(map[guavascale.WorkerID]bool, len(row.WaitMs))
 	if m.recorded == nil {
@@ -121,5 +108,5 @@
 	for id := range row.WaitMs {
 		b.missing[id], m.recorded[id] = true, true
 	}
-	return b.addEncoded(missingKey, data)
+	return data, nil
 }
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -8,6 +8,7 @@
 	"guavascale.example"
 	"guavascale.example/guavabinding"
 	"guavascale.example/guavaobjective"
+	"guavascale.example/guavarefusal"
 )
 
 type (
@@ -88,7 +89,7 @@
 		st.waitingSince = now
 	}
 	q := e.queue(st.sub)
-	if q == nil || !st.sub.durable || st.sub.state.Ended() {
+	if q == nil || !st.sub.durable || st.sub.state.Ended() || e.refusals.Group(st.sub) == guavarefusal.Aside {
 		return
 	}
 	if st.spec.Gang {
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -1,13 +1,12 @@
 package guavaqueue
 
 import (
-	"encoding/json"
 	"fmt"
-	"slices"
-	"strings"
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavabatch"
+	"guavascale.example/guavarow"
 )
 
 type (
@@ -15,8 +14,11 @@
 	Batch struct {
 		Writes []guavascale.Write
 
-		subs  []*submission
-		fleet map[guavascale.WorkerID]bool
+		subs []*submission
+		// bytes is the size of all values, shared the number of rows that are not of a
+		// submission, and group the group of the submissions.
+		bytes, shared, group int
+		fleet                map[guavascale.WorkerID]bool
 		// missing is the set of recorded missing workers, or nil if the batch
 		// doesn't write it.
 		missing map[guavascale.WorkerID]bool
@@ -24,63 +26,11 @@
 		bindings bool
 	}
 
-	// submissionRow is the content of a row "Submission/<id>", which never
-	// changes.
-	submissionRow struct {
-		Submission guavascale.Submission
-		Epoch      uint64
-		// AcceptedMs is a Unix time in milliseconds.
-		AcceptedMs int64
-	}
-
-	// progressRow is the content of a row "Progress/<id>".
-	progressRow struct {
-		State   guavascale.SubmissionState
-		EndedMs int64     `json:",omitempty"`
-		Steps   []stepRow `json:",omitempty"`
-	}
-
-	// stepRow holds the progress of the tasks of one step.
-	stepRow struct {
-		Occurrence int   `json:",omitempty"`
-		Step       int   `json:",omitempty"`
-		Done       []int `json:",omitempty"`
-		// Failed holds the numbers of the failed attempts, by task index.
-		Failed map[int][]int64 `json:",omitempty"`
-		// Saved holds the checkpoints of unfinished tasks without runs, by task
-		// index.
-		Saved map[int]string `json:",omitempty"`
-		// Crashes holds the numbers of workers that have crashed under unfinished
-		// tasks, by task index.
-		Crashes map[int]int `json:",omitempty"`
-	}
-
-	// pairRow is the stored form of a pairEstimate: Suspicion is its probability,
-	// Strikes its number of exclusions.
-	pairRow struct {
-		Service   string
-		Filler    string
-		Suspicion float64
-		Strikes   int `json:",omitempty"`
-	}
-
-	// kindsRow is the content of the row "Kinds/all".
-	kindsRow struct {
-		Pairs []pairRow
-	}
-
-	// fleetRow is the content of the row "Fleet/all".
-	fleetRow struct {
-		Workers []guavascale.WorkerID
-	}
+	pairRow  = guavarow.Pair
+	kindsRow = guavarow.Kinds
 )
 
 const (
-	submissionPrefix = "Submission/"
-	progressPrefix   = "Progress/"
-	fleetKey         = "Fleet/all"
-	kindsKey         = "Kinds/all"
-	bindingsKey      = "Bindings/all"
 	// kindsInterval is the minimum time between writes of the interference
 	// model. It is stored so that a new owner need not learn it again.
 	kindsInterval = 3 * time.Second
@@ -92,33 +42,11 @@
 	// maxBatchBytes bounds the values of a commit. The platform accepts 1 MB of
 	// base64.
 	maxBatchBytes = 500_000
-	// maxRowBytes bounds the value of a row, of which the platform accepts 64 KiB.
-	// One larger row would make it refuse all commits.
-	maxRowBytes = 60_000
 	// commitDelay is how long changes that no caller waits for are collected
 	// for one commit.
 	commitDelay = 25 * time.Millisecond
 )
 
-// RowPrefixes returns the key prefixes of all rows of a shard.
-func RowPrefixes() []string {
-	return []string{"Fleet/", "Kinds/", "Bindings/", submissionPrefix, progressPrefix}
-}
-
-// StateKeys returns the keys of the rows that hold the state of a submission.
-func StateKeys(id string) (submission, progress string) {
-	return submissionPrefix + id, progressPrefix + id
-}
-
-// ParseState decodes the state from a row "Progress/<id>".
-func ParseState(row guavascale.Row) (guavascale.SubmissionState, error) {
-	var pr progressRow
-	if err := json.Unmarshal(row.Value, &pr); err != nil {
-		return "", fmt.Errorf("decode row %q: %w", row.Key, err)
-	}
-	return pr.State, nil
-}
-
 func (e *Engine) markDirty(now time.Time, s *submission, urgent bool) {
 	if e.dirtySince.IsZero() {
 		e.dirtySince = now
@@ -133,177 +61,192 @@
 }
 
 // Batch returns the rows to commit now, or nil. The owner commits one batch at a
-// time and reports the outcome with Committed or Failed.
+// time and reports the outcome with Committed, Failed or Refused.
 func (e *Engine) Batch(now time.Time) *Batch {
-	if !e.fleetDirty && !e.bindings.Unsaved && !e.missing.due(now) && !e.urgent && (e.dirtySince.IsZero() || now.Sub(e.dirtySince) < commitDelay) {
+	e.refusals.Retry(now, (*submission).endedAt)
+	maySharedRows := !now.Before(e.sharedRetryAt)
+	fleetDue, missingDue := maySharedRows && e.fleetDirty, maySharedRows && e.missing.due(now)
+	bindingsDue := maySharedRows && e.bindings.Unsaved
+	if !fleetDue && !missingDue && !bindingsDue && !e.urgent && (e.dirtySince.IsZero() || now.Sub(e.dirtySince) < commitDelay) {
 		return nil
 	}
-	b := &Batch{}
-	bytes := 0
-	if e.fleetDirty {
-		b.fleet = make(map[guavascale.WorkerID]bool, len(e.workers)+len(e.missing.until))
-		row := fleetRow{}
-		for id, w := range e.workers {
-			if w.mayHoldRuns() {
-				b.fleet[id] = true
-				continue
-			}
-			// The worker gets no start before it is in the durable fleet again.
-			w.durable = false
+	b := &Batch{group: e.refusals.Next()}
+	if b.group == 0 {
+		if fleetDue {
+			e.writeFleet(now, b)
 		}
-		for id := range e.missing.until {
-			b.fleet[id] = true
+		if missingDue {
+			e.add(b, guavarow.MissingKey, func() ([]byte, error) { return e.missing.encode(now, e.Token, b) })
 		}
-		for id := range b.fleet {
-			row.Workers = append(row.Workers, id)
+		if maySharedRows && e.interference.changed && now.Sub(e.kindsWrittenAt) >= kindsInterval {
+			e.kindsWrittenAt, e.interference.changed = now, false
+			e.add(b, guavarow.KindsKey, func() ([]byte, error) { return guavarow.EncodeKinds(e.interference.toRow()) })
 		}
-		slices.Sort(row.Workers)
-		bytes += b.add(fleetKey, row)
-		e.fleetDirty = false
-	}
-	if e.missing.due(now) {
-		bytes += e.missing.write(now, e.Token, b)
-	}
-	if e.interference.changed && now.Sub(e.kindsWrittenAt) >= kindsInterval {
-		e.kindsWrittenAt, e.interference.changed = now, false
-		bytes += b.add(kindsKey, e.interference.toRow())
+		if bindingsDue {
+			b.bindings = true
+			b.add(guavarow.BindingsKey, e.bindings.Encode(guavarow.MaxBytes))
+		}
+		b.shared = len(b.Writes)
 	}
-	if e.bindings.Unsaved {
-		b.bindings = true
-		bytes += b.addEncoded(bindingsKey, e.bindings.Encode(maxRowBytes))
+	e.writeSubmissions(now, b)
+	if len(b.Writes) == 0 {
+		return nil
 	}
-	taken := 0
-	dirty := e.takeDirty()
+	return b
+}
+
+// writeSubmissions adds the changed submissions of the batch's group to the batch, as far as
+// they fit.
+func (e *Engine) writeSubmissions(now time.Time, b *Batch) {
+	dirty := guavabatch.Order(e.dirty, func(s *submission) bool { return s.urgent }, maxUrgentRows)
+	kept, left := dirty[:0], false
+	failed := make(map[*submission]error)
 	for _, s := range dirty {
-		if len(b.Writes)+2 > maxBatchRows || bytes > maxBatchBytes {
-			break
+		full := len(b.Writes)+2 > maxBatchRows || b.bytes > maxBatchBytes || e.sharedRowsRefused && b.shared > 0
+		if full || e.refusals.Group(s) != b.group {
+			kept, left = append(kept, s), left || e.refusals.Group(s) == b.group
+			continue
+		}
+		if err := e.write(s, b); err != nil {
+			kept, failed[s] = append(kept, s), err
+			continue
 		}
-		taken++
-		bytes += s.write(b)
 		s.dirty, s.committing, s.urgent, s.writing = false, true, false, s.changed
 		b.subs = append(b.subs, s)
 	}
-	e.dirty = append(e.dirty[:0], dirty[taken:]...)
+	if left {
+		e.refusals.Again(b.group)
+	}
+	clear(dirty[len(kept):])
+	e.dirty = append(e.dirty[:0], kept...)
+	for s, err := range failed {
+		e.setAside(now, now, s, err.Error(), 0)
+	}
 	if len(e.dirty) == 0 {
 		e.dirtySince, e.urgent = time.Time{}, false
 	}
-	return b
 }
 
-// takeDirty returns the submissions to write next, those that callers wait for first.
-// If the store is slow, hundreds of others wait, of which each commit takes some as
-// well.
-func (e *Engine) takeDirty() []*submission {
-	slices.SortStableFunc(e.dirty, func(a, b *submission) int {
+// add adds a row that is not of a submission.
+func (e *Engine) add(b *Batch, key string, encode func() ([]byte, error)) {
+	data, err := encode()
+	if err != nil {
+		e.emit(Event{Kind: EventSetAside, Outcome: "SharedRows", Reason: err.Error()})
+		return
+	}
+	b.add(key, data)
+}
+
+func (b *Batch) add(key string, data []byte) {
+	b.Writes = append(b.Writes, guavascale.Write{Key: key, Value: data})
+	b.bytes += len(data)
+}
+
+// writeFleet adds the rows of the fleet to a batch. Workers that don't fit get no starts.
+func (e *Engine) writeFleet(now time.Time, b *Batch) {
+	var held, free []guavascale.WorkerID
+	for id, w := range e.workers {
 		switch {
-		case a.urgent == b.urgent:
-			return 0
-		case a.urgent:
-			return -1
+		case !w.mayHoldRuns():
+			// The worker gets no start before it is in the durable fleet again.
+			w.durable = false
+		case e.fleet[id], w.durable, len(w.runs) > 0:
+			held = append(held, id)
 		default:
-			return 1
+			free = append(free, id)
+		}
+	}
+	for id := range e.missing.until {
+		if w := e.workers[id]; w == nil || !w.mayHoldRuns() {
+			held = append(held, id)
 		}
-	})
-	urgent := 0
-	for urgent < len(e.dirty) && e.dirty[urgent].urgent {
-		urgent++
-	}
-	if urgent <= maxUrgentRows || urgent == len(e.dirty) {
-		return e.dirty
-	}
-	order := make([]*submission, 0, len(e.dirty))
-	order = append(order, e.dirty[:maxUrgentRows]...)
-	order = append(order, e.dirty[urgent:]...)
-	return append(order, e.dirty[maxUrgentRows:urgent]...)
+	}
+	rows, fit, err := guavarow.EncodeFleet(held, free)
+	left := len(held) + len(free) - len(fit)
+	e.fleetDirty = left > 0
+	if left > 0 {
+		e.sharedRetryAt = now.Add(sharedRowRetry)
+		e.emit(Event{Kind: EventSetAside, Outcome: "Workers", Reason: fmt.Sprintf("the rows of the fleet are full: %v", err), Value: float64(left)})
+	}
+	if err != nil {
+		return
+	}
+	b.fleet = fit
+	for _, r := range rows {
+		b.add(r.Key, r.Value)
+	}
 }
 
-func (s *submission) write(b *Batch) int {
+// write adds the rows of a submission to a batch.
+func (e *Engine) write(s *submission, b *Batch) error {
 	if s.removed {
 		b.Writes = append(
 			b.Writes,
-			guavascale.Write{Key: submissionPrefix + s.ID, Delete: true},
-			guavascale.Write{Key: progressPrefix + s.ID, Delete: true},
+			guavascale.Write{Key: guavarow.SubmissionKey(s.ID), Delete: true},
+			guavascale.Write{Key: guavarow.ProgressKey(s.ID), Delete: true},
 		)
-		return 0
+		return nil
+	}
+	progress := s.rowWritten || s.state != guavascale.SubmissionQueued
+	var data []byte
+	if progress {
+		var (
+			p   = s.progress()
+			cut guavarow.Cut
+			err error
+		)
+		if data, cut, err = guavarow.EncodeProgress(s.ID, &p, guavarow.Counts(&s.Submission)); err != nil {
+			return err
+		}
+		if cut != (guavarow.Cut{}) && s.cut == (guavarow.Cut{}) {
+			e.emit(Event{Kind: EventRowCut, Submission: s.ID, Reason: fmt.Sprintf("%+v", cut), Value: float64(cut.Checkpoints)})
+		}
+		s.cut = cut
 	}
-	bytes := 0
 	if !s.rowWritten {
 		s.rowWritten = true
-		bytes += b.addEncoded(submissionPrefix+s.ID, s.row)
-		if s.state == guavascale.SubmissionQueued {
-			return bytes
-		}
+		b.add(guavarow.SubmissionKey(s.ID), s.row)
 	}
-	key := progressPrefix + s.ID
-	data := encodeRow(key, s.progress(true))
-	if len(data) > maxRowBytes {
-		// Without its checkpoint, a task starts from the beginning after a change
-		// of the owner.
-		data = encodeRow(key, s.progress(false))
+	if progress {
+		b.add(guavarow.ProgressKey(s.ID), data)
 	}
-	return bytes + b.addEncoded(key, data)
+	return nil
 }
 
-// progress returns the content of the progress row, with checkpoints only if
-// checkpoints is set.
-func (s *submission) progress(checkpoints bool) progressRow {
-	row := progressRow{State: s.state}
+// progress returns the content of the progress row.
+func (s *submission) progress() guavarow.Progress {
+	p := guavarow.Progress{State: s.state}
 	if s.state.Ended() {
-		row.EndedMs = s.ended.UnixMilli()
-		return row
+		p.EndedMs = s.ended.UnixMilli()
+		return p
+	}
+	for s.doneSteps < len(s.steps) && s.steps[s.doneSteps].done == len(s.steps[s.doneSteps].tasks) {
+		s.doneSteps++
 	}
-	for _, st := range s.steps {
-		sr := stepRow{Occurrence: st.occurrence, Step: st.index}
+	p.DoneSteps = s.doneSteps
+	for _, st := range s.steps[s.doneSteps:] {
 		for i, t := range st.tasks {
-			if t.done {
-				sr.Done = append(sr.Done, i)
-				continue
-			}
-			if len(t.failed) > 0 {
-				if sr.Failed == nil {
-					sr.Failed = make(map[int][]int64)
-				}
-				sr.Failed[i] = t.failed
-			}
-			if t.crashes > 0 {
-				if sr.Crashes == nil {
-					sr.Crashes = make(map[int]int)
-				}
-				sr.Crashes[i] = t.crashes
-			}
-			if checkpoints && t.checkpoint != "" && len(t.runs) == 0 {
-				if sr.Saved == nil {
-					sr.Saved = make(map[int]string)
-				}
-				sr.Saved[i] = t.checkpoint
+			row := guavarow.Task{Done: t.done, Failed: t.failed, Crashes: t.crashes}
+			if len(t.runs) == 0 {
+				row.Checkpoint = t.checkpoint
 			}
+			p.Add(st.occurrence, st.index, i, row)
 		}
-		if sr.Done != nil || sr.Failed != nil || sr.Saved != nil || sr.Crashes != nil {
-			row.Steps = append(row.Steps, sr)
-		}
-	}
-	return row
-}
-
-func (b *Batch) add(key string, v any) int { return b.addEncoded(key, encodeRow(key, v)) }
-
-func (b *Batch) addEncoded(key string, data []byte) int {
-	b.Writes = append(b.Writes, guavascale.Write{Key: key, Value: data})
-	return len(data)
-}
-
-func encodeRow(key string, v any) []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
-		// The row types hold no values that JSON can't encode.
-		panic(fmt.Sprintf("guavaqueue: encode row %q: %v", key, err))
 	}
-	return data
+	return p
 }
 
 // Failed reports that a batch was certainly not applied. Its changes become part
 // of a later batch.
 func (e *Engine) Failed(now time.Time, b *Batch) {
+	e.keepChanges(now, b)
+	if len(b.subs) > 0 {
+		e.refusals.Again(b.group)
+	}
+}
+
+// keepChanges makes the changes of a batch that was not applied part of a later one.
+func (e *Engine) keepChanges(now time.Time, b *Batch) {
 	e.fleetDirty = e.fleetDirty || b.fleet != nil
 	e.missing.dirty = e.missing.dirty || b.missing != nil
 	e.bindings.Unsaved = e.bindings.Unsaved || b.bindings
@@ -329,12 +272,8 @@
 			continue
 		}
 		n++
-		delete(e.subs, s.ID)
 		e.emit(Event{Kind: EventWithdrawn, Submission: s.ID, Reason: "commits fail", Age: since.Sub(s.accepted)})
-		for _, reply := range s.waiters {
-			reply("")
-		}
-		s.waiters = nil
+		e.drop(s)
 	}
 	clear(e.dirty[len(kept):])
 	e.dirty = kept
@@ -355,6 +294,8 @@
 	if b.missing != nil {
 		e.missing.recorded = b.missing
 	}
+	e.sharedRowsRefused = e.sharedRowsRefused && b.shared == 0
+	e.refusals.Accepted(b.subs...)
 	for _, s := range b.subs {
 		s.committing, s.written = false, s.writing
 		if s.removed {
@@ -409,59 +350,35 @@
 // Restore loads the rows of earlier owners into an empty engine. LeasesEnd is the time
 // at which all leases that these owners granted must have ended.
 func (e *Engine) Restore(now time.Time, rows []guavascale.Row, leasesEnd time.Time) error {
-	e.subs = make(map[string]*submission)
-	progress := make(map[string]progressRow)
-	var recorded missingRow
-	for _, r := range rows {
-		switch {
-		case strings.HasPrefix(r.Key, submissionPrefix):
-			var sr submissionRow
-			if err := json.Unmarshal(r.Value, &sr); err != nil {
-				return fmt.Errorf("decode row %q: %w", r.Key, err)
-			}
-			e.subs[sr.Submission.ID] = &submission{
-				Submission: sr.Submission, epoch: sr.Epoch, accepted: time.UnixMilli(sr.AcceptedMs),
-				state: guavascale.SubmissionQueued, durable: true, rowWritten: true,
-			}
-		case strings.HasPrefix(r.Key, progressPrefix):
-			var pr progressRow
-			if err := json.Unmarshal(r.Value, &pr); err != nil {
-				return fmt.Errorf("decode row %q: %w", r.Key, err)
-			}
-			progress[strings.TrimPrefix(r.Key, progressPrefix)] = pr
-		case r.Key == kindsKey:
-			var kr kindsRow
-			if err := json.Unmarshal(r.Value, &kr); err != nil {
-				return fmt.Errorf("decode row %q: %w", r.Key, err)
-			}
-			e.interference.restore(now, kr)
-		case r.Key == fleetKey:
-			var fr fleetRow
-			if err := json.Unmarshal(r.Value, &fr); err != nil {
-				return fmt.Errorf("decode row %q: %w", r.Key, err)
-			}
-			e.fleet = make(map[guavascale.WorkerID]bool)
-			for _, id := range fr.Workers {
-				e.fleet[id] = true
-			}
-		case r.Key == bindingsKey:
-			if err := e.bindings.Restore(r.Value); err != nil {
-				return fmt.Errorf("row %q: %w", r.Key, err)
-			}
-		case r.Key == missingKey:
-			if err := json.Unmarshal(r.Value, &recorded); err != nil {
-				return fmt.Errorf("decode row %q: %w", r.Key, err)
-			}
+	shard, err := guavarow.Read(rows)
+	if err != nil {
+		return err
+	}
+	if shard.Bindings != nil {
+		if err := e.bindings.Restore(shard.Bindings); err != nil {
+			return err
 		}
 	}
-	e.missing.restore(now, e.fleet, leasesEnd, recorded, e.Token)
-	for id, s := range e.subs {
-		e.restore(now, s, progress[id])
+	e.fleet = shard.Fleet
+	e.interference.restore(now, shard.Kinds)
+	e.missing.restore(now, e.fleet, leasesEnd, shard.Missing, e.Token)
+	e.subs = make(map[string]*submission, len(shard.Submissions))
+	for id, row := range shard.Submissions {
+		s := &submission{
+			Submission: row.Submission, epoch: row.Epoch, accepted: time.UnixMilli(row.AcceptedMs),
+			state: guavascale.SubmissionQueued, durable: true, rowWritten: true,
+		}
+		e.subs[id] = s
+		if progress, err := shard.Progress(id); err != nil {
+			e.setUnreadable(now, s, err)
+		} else {
+			e.restore(now, s, progress)
+		}
 	}
 	return nil
 }
 
-func (e *Engine) restore(now time.Time, s *submission, pr progressRow) {
+func (e *Engine) restore(now time.Time, s *submission, pr guavarow.Progress) {
 	if pr.State.Ended() {
 		s.state, s.ended, s.started = pr.State, time.UnixMilli(pr.EndedMs), true
 		return
@@ -474,18 +391,13 @@
 		}
 		st := s.steps[sr.Occurrence*len(s.Steps)+sr.Step]
 		s.started, s.state = true, guavascale.SubmissionRunning
-		for i, failed := range sr.Failed {
-			st.tasks[i].failed = failed
-		}
-		for i, n := range sr.Crashes {
-			st.tasks[i].crashes = n
-		}
-		for i, c := range sr.Saved {
-			st.tasks[i].checkpoint = c
-		}
-		for _, i := range sr.Done {
-			e.markDone(now, st.tasks[i])
-		}
+		sr.Tasks(func(i int, row guavarow.Task) {
+			t := st.tasks[i]
+			t.failed, t.crashes, t.checkpoint = row.Failed, row.Crashes, row.Checkpoint
+			if row.Done {
+				e.markDone(now, t)
+			}
+		})
 	}
 	e.queueReadySteps(s)
 }
--- a/guavaqueue/rows_test.go
+++ b/guavaqueue/rows_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example/guavalimit"
+	"guavascale.example/guavarow"
 )
 
 // newBacklog returns a fleet with a commit in progress and more changed submissions
@@ -99,7 +100,7 @@
 		tk.checkpoint = "00000bb87a21d94b"
 	}
 	b := &Batch{}
-	s.write(b)
+	require.NoError(t, f.engine.write(s, b))
 	require.Len(t, b.Writes, 1)
-	assert.LessOrEqual(t, len(b.Writes[0].Value), maxRowBytes)
+	assert.LessOrEqual(t, len(b.Writes[0].Value), guavarow.MaxBytes)
 }
--- a/guavaqueue/submit.go
+++ b/guavaqueue/submit.go
@@ -7,6 +7,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavalimit"
+	"guavascale.example/guavarow"
 )
 
 // maxDueOccurrences bounds how many occurrences of a submission are created in one
@@ -31,9 +32,10 @@
 	if err := e.validate(sub); err != nil {
 		return err
 	}
-	sub.row = encodeRow(submissionPrefix+s.ID, submissionRow{Submission: s, Epoch: e.Token, AcceptedMs: now.UnixMilli()})
-	if len(sub.row) > maxRowBytes {
-		return &guavascale.ValidationError{Field: "Submission", Value: fmt.Sprintf("%d bytes", len(sub.row)), Allowed: fmt.Sprintf("up to %d bytes", maxRowBytes)}
+	var err error
+	sub.row, err = guavarow.Encode(guavarow.SubmissionKey(s.ID), guavarow.Submission{Submission: s, Epoch: e.Token, AcceptedMs: now.UnixMilli()})
+	if err != nil {
+		return &guavascale.ValidationError{Field: "Submission", Value: err.Error(), Allowed: fmt.Sprintf("a row of up to %d bytes", guavarow.MaxBytes)}
 	}
 	sub.waiters = append(sub.waiters, reply)
 	if e.subs == nil {
--- /dev/null
+++ b/guavarow/guavarow_test.go
@@ -0,0 +1,299 @@
+package guavarow
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"guavascale.example"
+	"guavascale.example/guavalimit"
+)
+
+// earlierRow is the content of a row of progress in the version before guavarow.
+type earlierRow struct {
+	State   guavascale.SubmissionState
+	EndedMs int64
+	Steps   []Step
+}
+
+// accepted draws a submission within the limits, near the largest ones.
+func accepted(t *rapid.T) guavascale.Submission {
+	name := rapid.SampledFrom([]string{"", "a", strings.Repeat("<", guavalimit.MaxNameBytes)})
+	number := rapid.SampledFrom([]int64{0, 1, guavalimit.MaxSize})
+	s := guavascale.Submission{
+		ID: strings.Repeat("f", guavalimit.MaxIDBytes), Queue: "q",
+		Payload: strings.Repeat(rapid.SampledFrom([]string{"a", "<"}).Draw(t, "letter"), guavalimit.MaxPayloadBytes),
+	}
+	tasks := rapid.SampledFrom([]int{1, 7, 333, 333, guavalimit.MaxTasks}).Draw(t, "tasks")
+	steps := rapid.SampledFrom([]int{1, 3, guavalimit.MaxSteps}).Draw(t, "steps")
+	steps = min(steps, tasks)
+	for i := range steps {
+		n := tasks / steps
+		if i == 0 {
+			n += tasks % steps
+		}
+		s.Steps = append(s.Steps, guavascale.Step{
+			Count: n, Size: guavascale.Resources{MilliCores: number.Draw(t, "cpu"), MemoryMB: number.Draw(t, "memory")},
+			Estimate: guavalimit.MaxEstimate, Kind: name.Draw(t, "kind"), Label: name.Draw(t, "label"),
+		})
+	}
+	s.Repeat = rapid.SampledFrom([]int{0, 1, 3, guavalimit.MaxScheduledTasks / tasks}).Draw(t, "repeat")
+	if s.Repeat > 1 {
+		s.Interval = min(guavalimit.MaxInterval, guavalimit.MaxSpan/time.Duration(s.Repeat-1))
+	}
+	s.StartAt = rapid.SampledFrom([]time.Time{time.Unix(0, 0), guavalimit.MaxStartAt}).Draw(t, "start")
+	if err := guavalimit.Check(&s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// drawProgress draws the progress of a submission. Each task is done with a given
+// probability; the others have failures, crashes and checkpoints with others.
+func drawProgress(t *rapid.T, s *guavascale.Submission) Progress {
+	chance := func(name string) uint64 { return rapid.SampledFrom([]uint64{0, 1, 50, 99, 100}).Draw(t, name) }
+	done, failed, crashed, saved := chance("done"), chance("failed"), chance("crashed"), chance("saved")
+	failures := rapid.IntRange(1, maxNibble).Draw(t, "failures")
+	checkpoint := rapid.SampledFrom([]string{"00000bb87a21d94b", strings.Repeat("\x00", 3000)}).Draw(t, "checkpoint")
+	firstAttempt := rapid.SampledFrom([]int64{1, 1 << 50}).Draw(t, "attempt")
+	seed := rapid.Uint64().Draw(t, "seed")
+	happens := func(percent uint64) bool {
+		seed = seed*6364136223846793005 + 1442695040888963407
+		return seed>>33%100 < percent
+	}
+	p := Progress{State: guavascale.SubmissionRunning}
+	for o := range max(s.Repeat, 1) {
+		for i := range s.Steps {
+			st := Step{Occurrence: o, Step: i}
+			for n := range s.Steps[i].Count {
+				if happens(done) {
+					st.Done = append(st.Done, n)
+					continue
+				}
+				if happens(failed) {
+					var attempts []int64
+					for k := range failures {
+						attempts = append(attempts, firstAttempt+int64(k)*10_000)
+					}
+					put(&st.Failed, n, attempts)
+				}
+				if happens(crashed) {
+					put(&st.Crashes, n, 3)
+				}
+				if happens(saved) {
+					put(&st.Saved, n, checkpoint)
+				}
+			}
+			if st.Done != nil || st.Failed != nil || st.Crashes != nil || st.Saved != nil {
+				p.Steps = append(p.Steps, st)
+			}
+		}
+	}
+	return p
+}
+
+// Guards against a row that the store refuses, and against progress that differs for the
+// next owner, of this or the earlier version: tasks that run again, or are started more
+// often than allowed.
+func TestProgressOfAcceptedSubmissionFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := accepted(t)
+		p := drawProgress(t, &s)
+		short := p
+		if rapid.Bool().Draw(t, "leave done steps out") {
+			for len(short.Steps) > 0 && short.Steps[0].isNext(short.DoneSteps, Counts(&s)) {
+				short.Steps, short.DoneSteps = short.Steps[1:], short.DoneSteps+1
+			}
+		}
+		data, cut, err := EncodeProgress(s.ID, &short, Counts(&s))
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), MaxBytes)
+		got, err := decodeProgress(guavascale.Row{Key: "k", Value: data}, Counts(&s), max(s.Repeat, 1))
+		require.NoError(t, err)
+		left := 0
+		require.Equal(t, stripped(&p, cut, nil), stripped(&got, cut, &left))
+		for i := range p.Steps {
+			left -= len(p.Steps[i].Saved)
+		}
+		assert.Equal(t, -cut.Checkpoints, left)
+		checkEarlierVersion(t, &p, data, cut)
+	})
+}
+
+// checkEarlierVersion fails if a daemon of the earlier version reads other progress from a
+// row: it would take tasks that are done for tasks to start. It has to read the same, or
+// to fail.
+func checkEarlierVersion(t *rapid.T, p *Progress, data []byte, cut Cut) {
+	var earlier earlierRow
+	if json.Unmarshal(data, &earlier) == nil {
+		require.False(t, cut.Numbers)
+		require.Equal(t, stripped(p, cut, nil), stripped(&Progress{Steps: earlier.Steps}, cut, nil))
+		return
+	}
+	full, err := json.Marshal(Progress{State: p.State, Steps: withoutSaved(p.Steps)})
+	require.NoError(t, err)
+	assert.Greater(t, len(full), MaxBytes, "the form of the earlier version is used while it fits")
+}
+
+// isNext reports whether the step is the n-th and all its tasks are done.
+func (st *Step) isNext(n int, counts []int) bool {
+	return st.Occurrence*len(counts)+st.Step == n && len(st.Done) == counts[st.Step]
+}
+
+// stripped returns the steps without what a cut leaves out, and counts the checkpoints.
+func stripped(p *Progress, cut Cut, saved *int) map[[2]int]Step {
+	steps := make(map[[2]int]Step)
+	for _, st := range p.Steps {
+		if saved != nil {
+			*saved += len(st.Saved)
+		}
+		st.Saved = nil
+		if cut.Numbers {
+			counted := make(map[int][]int64)
+			for n, attempts := range st.Failed {
+				counted[n] = unknownAttempts(len(attempts))
+			}
+			st.Failed = counted
+		}
+		if st.Done != nil || len(st.Failed) > 0 || st.Crashes != nil {
+			steps[[2]int{st.Occurrence, st.Step}] = st
+		}
+	}
+	return steps
+}
+
+func withoutSaved(steps []Step) []Step {
+	steps = slices.Clone(steps)
+	for i := range steps {
+		steps[i].Saved = nil
+	}
+	return steps
+}
+
+// Guards against progress that is lost between the tasks of an owner and a row.
+func TestTasksAreRestored(t *testing.T) {
+	tasks := map[int]Task{
+		1: {Done: true}, 2: {Failed: []int64{1, 10_001}, Crashes: 2}, 4: {Checkpoint: "x"}, 7: {Crashes: 1},
+	}
+	p := Progress{State: guavascale.SubmissionRunning}
+	for o := range 2 {
+		for n := range 9 {
+			p.Add(o, 0, n, tasks[n])
+		}
+	}
+	require.Len(t, p.Steps, 2)
+	for i := range p.Steps {
+		got := make(map[int]Task)
+		p.Steps[i].Tasks(func(n int, task Task) { got[n] = task })
+		assert.Equal(t, tasks, got)
+	}
+}
+
+// Guards against progress that grows with all that was ever done: 20,000 occurrences, of
+// which a few are under way.
+func TestProgressGrowsWithWhatIsUnderWay(t *testing.T) {
+	p := Progress{State: guavascale.SubmissionRunning}
+	for o := range guavalimit.MaxScheduledTasks - 100 {
+		if o < guavalimit.MaxScheduledTasks-200 || o%2 == 0 {
+			p.Steps = append(p.Steps, Step{Occurrence: o, Done: []int{0}})
+		}
+	}
+	data, _, err := EncodeProgress("a", &p, []int{1})
+	require.NoError(t, err)
+	assert.Less(t, len(data), 200)
+}
+
+// Guards against other rows that the store refuses, and against a fleet that the next
+// owner knows only a part of.
+func TestRowsOfWorkersAndKindsFit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		length := rapid.IntRange(8, guavalimit.MaxNameBytes).Draw(t, "length")
+		n := rapid.SampledFrom([]int{0, 1, 290, 1100, 4096, 20_000}).Draw(t, "n")
+		letter := rapid.SampledFrom([]string{"w", "<"}).Draw(t, "letter")
+		var ids []guavascale.WorkerID
+		missing := Missing{Token: 7, WaitMs: make(map[guavascale.WorkerID]int64)}
+		var kinds Kinds
+		for i := range n {
+			id := guavascale.WorkerID(strings.Repeat(letter, length-5) + fmt.Sprintf("%05d", i))
+			ids = append(ids, id)
+			missing.WaitMs[id] = 9_000
+			kinds.Pairs = append(kinds.Pairs, Pair{Service: string(id), Filler: string(id), Suspicion: 1 / float64(1+i)})
+		}
+		held := n / 10
+		rows, fit, err := EncodeFleet(ids[n-held:], ids[:n-held])
+		require.NoError(t, err)
+		assert.GreaterOrEqual(t, len(fit), min(n, 340))
+		for _, id := range ids[n-held:][:min(held, 340)] {
+			assert.True(t, fit[id], "it may have runs")
+		}
+		var workers fleet
+		bytes := 0
+		for _, r := range rows {
+			require.LessOrEqual(t, len(r.Value), MaxBytes)
+			bytes += len(r.Value)
+			require.NoError(t, workers.add(guavascale.Row{Key: r.Key, Value: r.Value}))
+		}
+		assert.LessOrEqual(t, bytes, 450_000, "the rows fit into a commit")
+		got, err := workers.all()
+		require.NoError(t, err)
+		assert.Equal(t, fit, got)
+		data, err := EncodeMissing(&missing)
+		require.NoError(t, err)
+		assert.LessOrEqual(t, len(data), MaxBytes)
+		var read Missing
+		require.NoError(t, Decode(guavascale.Row{Value: data}, &read))
+		assert.Len(t, read.WaitMs, len(missing.WaitMs), "what doesn't fit is not said to be recorded")
+		data, err = EncodeKinds(kinds)
+		require.NoError(t, err)
+		assert.LessOrEqual(t, len(data), MaxBytes)
+	})
+}
+
+// Guards against an earlier version that reads a part of a fleet for all of it and starts
+// tasks that run on the other workers.
+func TestEarlierVersionFailsOnSplitFleet(t *testing.T) {
+	var ids []guavascale.WorkerID
+	for i := range 10_000 {
+		ids = append(ids, guavascale.WorkerID(fmt.Sprintf("worker-%05d", i)))
+	}
+	rows, _, err := EncodeFleet(ids, nil)
+	require.NoError(t, err)
+	var earlier struct{ Workers []guavascale.WorkerID }
+	require.Error(t, json.Unmarshal(rows[0].Value, &earlier))
+	var workers fleet
+	require.NoError(t, workers.add(guavascale.Row{Key: rows[0].Key, Value: rows[0].Value}))
+	_, err = workers.all()
+	assert.Error(t, err, "a part is missing")
+}
+
+// Guards against rows that make a decoder panic or use memory without a bound.
+func FuzzDecodeRows(f *testing.F) {
+	f.Add([]byte(`{"State":"running","Steps":[{"Occurrence":3,"Done":[0,9],"Failed":{"1":[1]},"Saved":{"0":"x"}}]}`))
+	f.Add([]byte(`{"State":"running","Steps":{"Counts":[2,3],"Before":4,"Done":"AQ==","Failed":"AAICAg==","Saved":{"5":"x"}}}`))
+	f.Add([]byte(`{"State":"running","Steps":{"Counts":[2,3],"Before":-1,"Failures":"//8=","Crashes":"//8="}}`))
+	f.Add([]byte(`{"Workers":{"Parts":99999999999}}`))
+	f.Add([]byte(`{"Workers":["a"],"Pairs":[{"Suspicion":1e300}],"WaitMs":{"a":-9223372036854775808}}`))
+	f.Add([]byte(`{"Submission":{"StartAt":"9999-12-31T23:59:59Z","Repeat":20000,"Interval":9223372036854775807}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		row := guavascale.Row{Key: fleetKey, Value: data}
+		p, err := decodeProgress(row, []int{2, 3}, 4)
+		if err == nil {
+			require.NoError(t, p.check([]int{2, 3}, 4))
+		}
+		_, _ = DecodeState(row)
+		var workers fleet
+		if workers.add(row) == nil {
+			_, _ = workers.all()
+		}
+		for _, v := range []any{&Submission{}, &Kinds{}, &Missing{}} {
+			_ = Decode(row, v)
+		}
+	})
+}
--- a/guavascheduler/commit.go
+++ b/guavascheduler/commit.go
@@ -37,9 +37,9 @@
 
 var errNoResponse = errors.New("the store has not responded to a commit yet")
 
-// attemptCommit makes a commit. It returns an UnavailableError only if the commit was
-// definitely not applied. Ctx is the term's: after a commit that was given up the term
-// makes no other, since nobody knows which of them the store applies.
+// attemptCommit makes a commit. It returns an UnavailableError or a RefusedError only if
+// the commit was definitely not applied. Ctx is the term's: after a commit that was given
+// up the term makes no other, since nobody knows which of them the store applies.
 func (t *term) attemptCommit(ctx context.Context, b *guavaqueue.Batch, leave bool) error {
 	var writes []guavascale.Write
 	if b != nil {
@@ -100,9 +100,12 @@
 			}
 			return applied, err
 		}
+		t.recordFailure(res.err)
+		if isRefusal(res.err) {
+			return t.settleRefusal(ctx, firstStart, res.err, mayHaveApplied || open > 0)
+		}
 		var unavailable *guavascale.UnavailableError
 		mayHaveApplied = mayHaveApplied || !errors.As(res.err, &unavailable) || unavailable.MayHaveApplied
-		t.recordFailure(res.err)
 		if !mayHaveApplied && open == 0 {
 			t.chain.Refused()
 			return false, res.err
--- a/guavascheduler/load.go
+++ b/guavascheduler/load.go
@@ -9,7 +9,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavaowner"
-	"guavascale.example/guavaqueue"
+	"guavascale.example/guavarow"
 )
 
 const (
@@ -24,7 +24,7 @@
 // claim it, and load the rows in vain as well. The heartbeat that is in progress when
 // the rows are there goes on, as the term's commit in progress.
 func (t *term) loadRows(ctx context.Context) ([]guavascale.Row, error) {
-	prefixes := guavaqueue.RowPrefixes()
+	prefixes := guavarow.Prefixes()
 	pages := make([][]guavascale.Row, len(prefixes))
 	// The end of the scans cancels scanCtx and must not end a commit.
 	g, scanCtx := errgroup.WithContext(ctx)
--- a/guavascheduler/submissions.go
+++ b/guavascheduler/submissions.go
@@ -7,7 +7,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavapeer"
-	"guavascale.example/guavaqueue"
+	"guavascale.example/guavarow"
 )
 
 const (
@@ -81,16 +81,15 @@
 
 // storedState reads the state of a submission from its rows.
 func (s *Scheduler) storedState(ctx context.Context, id string) (guavascale.SubmissionState, error) {
-	submission, progress := guavaqueue.StateKeys(id)
-	row, err := s.Table.Get(ctx, progress)
+	row, err := s.Table.Get(ctx, guavarow.ProgressKey(id))
 	if err == nil {
-		return guavaqueue.ParseState(row)
+		return guavarow.DecodeState(row)
 	}
 	var notFound *guavascale.NotFoundError
 	if !errors.As(err, &notFound) {
 		return "", err
 	}
-	if _, err := s.Table.Get(ctx, submission); err != nil {
+	if _, err := s.Table.Get(ctx, guavarow.SubmissionKey(id)); err != nil {
 		return "", err
 	}
 	// The progress row is first written when a run or the submission ends. Until
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -305,6 +305,8 @@
 			t.engine.Failed(now, b)
 		}
 		t.withdrawStale(now)
+	case isRefusal(err):
+		t.refuse(now, b, err)
 	case err != nil:
 		t.err = err
 	case leave:
