guavapair: exclusions end when they would have under the owner before

Class: a deadline that is counted from when it is read instead of from when it was set.

The row of the pairs holds the time of the next trial (RetryAtMs, optional). An owner takes it unless it lies later than an exclusion that begins now, so a clock that was ahead can't prolong one.

--- a/guavaqueue/backlog_test.go
+++ b/guavaqueue/backlog_test.go
@@ -48,7 +48,7 @@
 			f.advance(2 * time.Second)
 			require.Equal(t, 4, f.countRunning("service"))
 			if c.excluded {
-				f.engine.interference.exclude(f.now, "service", "filler")
+				f.exclude("service", "filler")
 			}
 			filler := fillersOf("filler", "filler", 2, time.Second)
 			filler.Steps[0].Size.MilliCores = 6000
--- a/guavaqueue/bench_test.go
+++ b/guavaqueue/bench_test.go
@@ -36,7 +36,7 @@
 				f.submit(s)
 			}
 			for i := range 10 {
-				f.engine.interference.exclude(f.now, fmt.Sprint(i), "0")
+				f.exclude(fmt.Sprint(i), "0")
 			}
 			f.advance(time.Second)
 			for i := range c.waiting {
--- a/guavaqueue/demand.go
+++ b/guavaqueue/demand.go
@@ -87,7 +87,7 @@
 func (e *Engine) displacedDemand(now time.Time, service string, w *worker) float64 {
 	sum := 0.0
 	for filler, demand := range e.demandByFiller {
-		if e.interference.excluded(now, service, filler) && !e.excluded(now, filler, w) {
+		if e.interference.Excluded(now, service, filler) && !e.excluded(now, filler, w) {
 			sum += demand
 		}
 	}
--- a/guavaqueue/demand_test.go
+++ b/guavaqueue/demand_test.go
@@ -8,12 +8,12 @@
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
+	"guavascale.example/guavarow"
 )
 
 // exclude excludes a pair as if the filler had disturbed the service many times.
-func (p *interferenceModel) exclude(now time.Time, service, filler string) {
-	v := p.entry(service, filler)
-	v.probability, v.exclusions, v.retryAt = 1, maxExclusionDoublings, now.Add(time.Hour)
+func (f *fleet) exclude(service, filler string) {
+	f.engine.interference.Restore(f.now, guavarow.Kinds{Pairs: []guavarow.Pair{{Service: service, Filler: filler, Suspicion: 1, Strikes: 10}}})
 }
 
 // fillersOf returns a submission with one step of filler tasks.
@@ -39,7 +39,7 @@
 	f.listWorkers()
 	const kinds = 10
 	for kind := range kinds {
-		f.engine.interference.exclude(f.now, fmt.Sprint(kind), "heavy")
+		f.exclude(fmt.Sprint(kind), "heavy")
 	}
 	for i := range 12 {
 		s := serviceOf(fmt.Sprintf("service%d", i), 14)
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -34,6 +34,7 @@
 	"guavascale.example"
 	"guavascale.example/guavabinding"
 	"guavascale.example/guavaobjective"
+	"guavascale.example/guavapair"
 	"guavascale.example/guavarefusal"
 	"guavascale.example/guavarow"
 )
@@ -99,7 +100,7 @@
 		// answered yet.
 		missing missingWorkers
 		// interference estimates which filler kinds disturb which service kinds.
-		interference interferenceModel
+		interference guavapair.Model
 		// demandByFiller holds, by filler kind, its load as a fraction of the
 		// processors on which it may run, computed at demandComputedAt.
 		demandByFiller map[string]float64
--- a/guavaqueue/interfere.go
+++ b/guavaqueue/interfere.go
@@ -2,24 +2,13 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
 	"guavascale.example"
 )
 
-// Assumed workload: fillers of a few kinds share workers with service tasks of a
-// few kinds. Most pairs of kinds don't interfere. In the others a single filler
-// overflows the service's request queue: the latency grows to a multiple of the
-// target within a second and recovers slowly after the filler has ended. The
-// model therefore learns which pairs must not share a worker rather than how
-// strongly a pair interferes.
-
 type (
-	// pairKey identifies a service kind and a filler kind.
-	pairKey struct{ service, filler string }
-
 	// kindLoad is the load that the tasks of one kind put on a worker.
 	kindLoad struct {
 		Kind  string
@@ -27,48 +16,9 @@
 		// MilliCores is the declared size of all tasks of the kind.
 		MilliCores int64
 	}
-
-	// pairEstimate is the estimate of how a filler kind affects a service kind
-	// on the same worker.
-	pairEstimate struct {
-		// probability is the estimated probability, 0 to 1, that the filler
-		// disturbs the service.
-		probability float64
-		// exclusions counts how often the pair was excluded from sharing a
-		// worker. Each exclusion lasts until retryAt and is longer than the one
-		// before; afterwards the pair gets one trial at a time. trialAt is the
-		// start of the latest trial.
-		exclusions       int
-		retryAt, trialAt time.Time
-	}
-
-	// interferenceModel holds the estimates of all observed pairs; others have
-	// initialProbability. The zero value is ready to use.
-	interferenceModel struct {
-		pairs map[pairKey]*pairEstimate
-		// changed is set when a pair has changed since the last row was written.
-		changed bool
-	}
 )
 
 const (
-	// initialProbability lets a new pair share a worker; pairs at or above
-	// exclusionThreshold are excluded.
-	initialProbability = 0.2
-	exclusionThreshold = 0.5
-	// baseExclusionTime is the duration of the first exclusion of a pair. It
-	// doubles with each further one, at most maxExclusionDoublings times.
-	// trialDuration is how long a trial takes to show in the measurements.
-	baseExclusionTime     = 30 * time.Second
-	maxExclusionDoublings = 6
-	trialDuration         = 2500 * time.Millisecond
-	// minProbability is the lower bound for a pair that never interfered, since
-	// the load of a service changes.
-	minProbability = 0.05
-	// raiseWeight and decayWeight are the weights of one measurement of a
-	// disturbed or an undisturbed service.
-	raiseWeight = 0.75
-	decayWeight = 0.25
 	// A service whose latency, as a fraction of its target, is above
 	// disturbedRatio is disturbed, and one below undisturbedRatio is not.
 	disturbedRatio   = 0.9
@@ -88,8 +38,6 @@
 	// minUsedShare is the share of a worker's processors that a filler must use
 	// to be considered a cause.
 	minUsedShare = 0.03
-	// maxPairs bounds the size of the model.
-	maxPairs = 4096
 
 	// observeInterval is the minimum time between uses of a worker's
 	// measurements, which cover a window of half a second.
@@ -118,108 +66,8 @@
 	serviceUsageShare = 0.5
 )
 
-func (p *interferenceModel) probability(service, filler string) float64 {
-	if v := p.pairs[pairKey{service, filler}]; v != nil {
-		return v.probability
-	}
-	return initialProbability
-}
-
-// entry returns the estimate of a pair for modification and creates it if
-// needed.
-func (p *interferenceModel) entry(service, filler string) *pairEstimate {
-	p.changed = true
-	if v := p.pairs[pairKey{service, filler}]; v != nil {
-		return v
-	}
-	if p.pairs == nil || len(p.pairs) >= maxPairs {
-		p.pairs = make(map[pairKey]*pairEstimate)
-	}
-	v := &pairEstimate{probability: initialProbability}
-	p.pairs[pairKey{service, filler}] = v
-	return v
-}
-
-// excluded reports whether a pair must not share a worker now.
-func (p *interferenceModel) excluded(now time.Time, service, filler string) bool {
-	v := p.pairs[pairKey{service, filler}]
-	return v != nil && v.probability >= exclusionThreshold && (now.Before(v.retryAt) || now.Sub(v.trialAt) < trialDuration)
-}
-
-// startTrial records that a filler starts beside a service from which it was
-// excluded before.
-func (p *interferenceModel) startTrial(now time.Time, service, filler string) {
-	if v := p.pairs[pairKey{service, filler}]; v != nil && v.probability >= exclusionThreshold {
-		v.trialAt = now
-	}
-}
-
-func (p *interferenceModel) toRow() kindsRow {
-	var row kindsRow
-	for k, v := range p.pairs {
-		row.Pairs = append(row.Pairs, pairRow{
-			Service: k.service, Filler: k.filler, Suspicion: math.Round(v.probability*100) / 100, Strikes: v.exclusions,
-		})
-	}
-	return row
-}
-
-func (p *interferenceModel) restore(now time.Time, row kindsRow) {
-	for _, r := range row.Pairs {
-		v := p.entry(r.Service, r.Filler)
-		v.probability, v.exclusions = r.Suspicion, r.Strikes
-		v.retryAt = now.Add(v.exclusionTime())
-	}
-}
-
-func (v *pairEstimate) exclusionTime() time.Duration {
-	return baseExclusionTime << min(max(v.exclusions-1, 0), maxExclusionDoublings)
-}
-
-// recordDisturbed raises the probabilities of the fillers beside a disturbed
-// service. Each one's share grows with the square of its probability, so that
-// one likely cause leaves little for the others. It returns the fillers that are excluded
-// from now on.
-func (p *interferenceModel) recordDisturbed(now time.Time, service string, fillers []string) (excluded []string) {
-	sum := 0.0
-	for _, f := range fillers {
-		v := p.probability(service, f)
-		sum += v * v
-	}
-	for _, f := range fillers {
-		v := p.entry(service, f)
-		wasExcluded, old := v.probability >= exclusionThreshold && now.Before(v.retryAt), v.probability
-		v.probability += (1 - old) * raiseWeight * old * old / max(sum, initialProbability*initialProbability)
-		if v.probability >= exclusionThreshold && !wasExcluded {
-			v.exclusions++
-			v.retryAt = now.Add(v.exclusionTime())
-			excluded = append(excluded, f)
-		}
-	}
-	return excluded
-}
-
-// recordUndisturbed lowers the probabilities of the fillers beside a service
-// that is not disturbed.
-func (p *interferenceModel) recordUndisturbed(service string, fillers []string) {
-	for _, f := range fillers {
-		v := p.entry(service, f)
-		v.probability = max(v.probability*(1-decayWeight), minProbability)
-	}
-}
-
-// Apart lists the pairs of kinds whose interference probability has reached the
-// exclusion threshold, as "service/filler".
-func (e *Engine) Apart() []string {
-	var pairs []string
-	for k, v := range e.interference.pairs {
-		if v.probability >= exclusionThreshold {
-			pairs = append(pairs, k.service+"/"+k.filler)
-		}
-	}
-	slices.Sort(pairs)
-	return pairs
-}
+// Apart lists the pairs of kinds that probably disturb each other, as "service/filler".
+func (e *Engine) Apart() []string { return e.interference.Apart() }
 
 // observe updates the interference model from a worker's measurements and
 // preempts or throttles fillers where services miss their target.
@@ -242,14 +90,14 @@
 		ratio := worst.latencyRatio()
 		switch {
 		case ratio > disturbedRatio && notFalling:
-			for _, filler := range e.interference.recordDisturbed(now, l.Kind, settled) {
+			for _, filler := range e.interference.RecordDisturbed(now, l.Kind, settled) {
 				e.emit(Event{
 					Kind: EventPairExcluded, Submission: worst.id.Task.Submission, Run: worst.id, Worker: w.ID,
 					Reason: fmt.Sprintf("%s/%s of %v", l.Kind, filler, settled), Value: ratio, Age: now.Sub(worst.startedAt),
 				})
 			}
 		case ratio < undisturbedRatio:
-			e.interference.recordUndisturbed(l.Kind, settled)
+			e.interference.RecordUndisturbed(l.Kind, settled)
 		}
 		highest = max(highest, ratio)
 		w.worstLatencyRatio = highest
@@ -328,7 +176,7 @@
 		if !spec.Filler || r.phase != phaseRunning || r.pace < fullPace {
 			continue
 		}
-		if notFalling && e.interference.probability(kind, spec.Kind) >= exclusionThreshold {
+		if notFalling && e.interference.Suspect(kind, spec.Kind) {
 			e.preempt(now, r)
 			w.mitigatedAt = now
 			continue
@@ -389,7 +237,7 @@
 		}
 		limit := fullPace
 		for _, l := range w.loads() {
-			if l.Class == guavascale.ClassService && e.interference.probability(l.Kind, r.task.step.spec.Kind) >= exclusionThreshold {
+			if l.Class == guavascale.ClassService && e.interference.Suspect(l.Kind, r.task.step.spec.Kind) {
 				limit = suspectPace
 			}
 		}
@@ -427,12 +275,7 @@
 	if kinds, ok := e.excludedServicesByFiller[filler]; ok {
 		return kinds
 	}
-	kinds := make(map[string]bool)
-	for k := range e.interference.pairs {
-		if k.filler == filler && e.interference.excluded(now, k.service, filler) {
-			kinds[k.service] = true
-		}
-	}
+	kinds := e.interference.ExcludedServices(now, filler)
 	if e.excludedServicesByFiller == nil {
 		e.excludedServicesByFiller = make(map[string]map[string]bool)
 	}
@@ -444,7 +287,7 @@
 // it may have disturbed.
 func (e *Engine) recordFillerEnd(now time.Time, filler string, w *worker) {
 	for _, l := range w.loads() {
-		if l.Class == guavascale.ClassService && e.interference.probability(l.Kind, filler) > initialProbability {
+		if l.Class == guavascale.ClassService && e.interference.MoreLikely(l.Kind, filler) {
 			w.suspectEndedAt = now
 		}
 	}
@@ -454,7 +297,7 @@
 func (e *Engine) recordTrials(now time.Time, filler string, w *worker) {
 	for _, l := range w.loads() {
 		if l.Class == guavascale.ClassService {
-			e.interference.startTrial(now, l.Kind, filler)
+			e.interference.StartTrial(now, l.Kind, filler)
 		}
 	}
 	// Only one trial of a pair may run at a time, so the cached result is stale.
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -78,9 +78,9 @@
 		if missingDue {
 			e.add(b, guavarow.MissingKey, func() ([]byte, error) { return e.missing.encode(now, e.Token, b) })
 		}
-		if maySharedRows && e.interference.changed && now.Sub(e.kindsWrittenAt) >= kindsInterval {
-			e.kindsWrittenAt, e.interference.changed = now, false
-			e.add(b, guavarow.KindsKey, func() ([]byte, error) { return guavarow.EncodeKinds(e.interference.toRow()) })
+		if maySharedRows && e.interference.Changed && now.Sub(e.kindsWrittenAt) >= kindsInterval {
+			e.kindsWrittenAt, e.interference.Changed = now, false
+			e.add(b, guavarow.KindsKey, func() ([]byte, error) { return guavarow.EncodeKinds(e.interference.Row()) })
 		}
 		if bindingsDue {
 			b.bindings = true
@@ -360,7 +360,7 @@
 		}
 	}
 	e.fleet = shard.Fleet
-	e.interference.restore(now, shard.Kinds)
+	e.interference.Restore(now, shard.Kinds)
 	e.missing.restore(now, e.fleet, leasesEnd, shard.Missing, e.Token)
 	e.subs = make(map[string]*submission, len(shard.Submissions))
 	for id, row := range shard.Submissions {
--- a/guavaqueue/vacate_test.go
+++ b/guavaqueue/vacate_test.go
@@ -22,7 +22,7 @@
 		w.tailLatency = 5 * time.Millisecond
 	}
 	f.listWorkers()
-	f.engine.interference.exclude(f.now, "service", "heavy")
+	f.exclude("service", "heavy")
 	tasks := batchOf("tasks", 1, workers, 4*time.Second)
 	tasks.Steps[0].Size.MilliCores = 25_000
 	f.submit(tasks)
--- a/guavarow/workers.go
+++ b/guavarow/workers.go
@@ -19,6 +19,9 @@
 		Filler    string
 		Suspicion float64
 		Strikes   int `json:",omitempty"`
+		// RetryAtMs is the Unix time in milliseconds up to which the pair is excluded;
+		// 0 if it is not, or was written by an earlier version.
+		RetryAtMs int64 `json:",omitempty"`
 	}
 
 	// Kinds is the content of the row KindsKey.
