--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -25,9 +25,6 @@
 		// bindings is set if the batch writes the bindings.
 		bindings bool
 	}
-
-	pairRow  = guavarow.Pair
-	kindsRow = guavarow.Kinds
 )
 
 const (
