guavaclock, guavaqueue: each state of a run has a bound

When the worker restarts behind a cut, handleRestart clears the reading of its clock, without which no lease ever expires; a worker that then never answers keeps the task. The class: a state that only a message from outside ends. Package guavaclock now holds the readings and the arithmetic of leases as pure functions, and a lease has a bound by the owner's clock where the worker's is unknown: the last order with a lease, the longest delay of an order (Guarantees.OrderDelayMs, new, 12 s by default: "carried out 2 to 12 s later"), the longest lease by the slowest clock. That a start can't take effect on the new boot can't be shown otherwise: the id that a call names is the same after a restart, and the deadline is on a clock that starts anew.

The simulated fleet times out the hold of a worker that has become unreachable, as the owner does. TestNewOwnerWaitsForUnreachableWorker waits 4.5 s and then 10.5 s instead of 5 s and 10 s, and checks the starts as well: 5 s after the change of owner the runs only lasted because their leases ended after the bound of 5.8 s.

--- a/cmd/guavascaled/queue.go
+++ b/cmd/guavascaled/queue.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"guavascale.example"
+	"guavascale.example/guavaclock"
 	"guavascale.example/guavaconfig"
 	"guavascale.example/guavaqueue"
 	"guavascale.example/guavascheduler"
@@ -121,7 +122,7 @@
 		// Starts need some time on their way.
 		MaxListAge: guavaconfig.Milliseconds(g.LeaveMaxMs) - startTransit,
 		Limits: guavaqueue.Limits{
-			LeaseMax:      guavaconfig.Milliseconds(g.LeaseMaxMs),
+			Terms:         guavaclock.Terms{LeaseMax: guavaconfig.Milliseconds(g.LeaseMaxMs), OrderDelay: guavaconfig.Milliseconds(g.OrderDelayMs)},
 			StopGrace:     guavaconfig.Milliseconds(g.StopGraceMs),
 			OwnerLease:    ownerLease,
 			DisturbMax:    guavaconfig.Milliseconds(g.DisturbMaxMs),
--- a/guavaconfig/queue.go
+++ b/guavaconfig/queue.go
@@ -36,6 +36,9 @@
 	Guarantees struct {
 		// LeaseMaxMs is the maximum lease that a worker grants.
 		LeaseMaxMs float64
+		// OrderDelayMs is how long after it was sent an order to a worker that got
+		// no response may still be carried out.
+		OrderDelayMs float64
 		// StopGraceMs is the maximum time that a worker takes to stop a run.
 		StopGraceMs float64
 		// TermSeconds is the time between SIGTERM and SIGKILL.
@@ -62,6 +65,7 @@
 
 const (
 	defaultLeaseMaxMs   = 6000.0
+	defaultOrderDelayMs = 12000.0
 	defaultStopGraceMs  = 1000.0
 	defaultTermSeconds  = 6.0
 	defaultDisturbMaxMs = 4000.0
@@ -92,6 +96,7 @@
 	setDefault(&s.Log.Level, "Info")
 	setDefault(&s.Log.Format, "JSON")
 	setDefault(&s.Guarantees.LeaseMaxMs, defaultLeaseMaxMs)
+	setDefault(&s.Guarantees.OrderDelayMs, defaultOrderDelayMs)
 	setDefault(&s.Guarantees.StopGraceMs, defaultStopGraceMs)
 	setDefault(&s.Guarantees.TermSeconds, defaultTermSeconds)
 	setDefault(&s.Guarantees.DisturbMaxMs, defaultDisturbMaxMs)
@@ -115,7 +120,7 @@
 	}
 	g := s.Guarantees
 	for field, value := range map[string]float64{
-		"LeaseMaxMs": g.LeaseMaxMs, "StopGraceMs": g.StopGraceMs, "TermSeconds": g.TermSeconds, "DisturbMaxMs": g.DisturbMaxMs,
+		"LeaseMaxMs": g.LeaseMaxMs, "OrderDelayMs": g.OrderDelayMs, "StopGraceMs": g.StopGraceMs, "TermSeconds": g.TermSeconds, "DisturbMaxMs": g.DisturbMaxMs,
 		"LeaveMaxMs":  g.LeaveMaxMs,
 		"KeepSeconds": g.KeepSeconds, "RackPenalty": g.RackPenalty, "MemoryMB": g.MemoryMB, "Cores": g.Cores,
 	} {
--- a/guavaqueue/dump.go
+++ b/guavaqueue/dump.go
@@ -77,9 +77,9 @@
 			ID: w.ID, Zone: w.Zone, Listed: w.listed, Known: w.known, Leaving: w.Leaving, HeardMs: -1,
 			Runs: len(w.runs), Used: w.used, Seen: w.seen, Durable: w.acked, Misses: w.failedHolds,
 		}
-		if !w.clockAt.IsZero() {
-			wd.HeardMs = now.Sub(w.clockAt).Milliseconds()
-			wd.LeaseMs = (w.leaseEnd - w.clock - now.Sub(w.clockAt)).Milliseconds()
+		if w.clock.Known() {
+			wd.HeardMs = now.Sub(w.clock.LowAt).Milliseconds()
+			wd.LeaseMs = (w.lease.End - w.clock.Low - now.Sub(w.clock.LowAt)).Milliseconds()
 		}
 		d.Workers = append(d.Workers, wd)
 	}
--- a/guavaqueue/events.go
+++ b/guavaqueue/events.go
@@ -87,8 +87,8 @@
 
 func (e *Engine) emitWorker(now time.Time, w *worker, outcome, reason string) {
 	age := time.Duration(-1)
-	if !w.clockAt.IsZero() {
-		age = now.Sub(w.clockAt)
+	if w.clock.Known() {
+		age = now.Sub(w.clock.LowAt)
 	}
 	e.emit(Event{Kind: EventWorker, Worker: w.ID, Outcome: outcome, Reason: reason, Age: age, Value: float64(len(w.runs))})
 }
--- a/guavaqueue/failure_test.go
+++ b/guavaqueue/failure_test.go
@@ -52,9 +52,10 @@
 		break
 	}
 	f.replaceOwner()
-	f.advance(5 * time.Second)
+	f.advance(4500 * time.Millisecond)
 	assert.Equal(t, 4, f.countRunning("a"), "the runs keep their leases")
-	f.advance(10 * time.Second)
+	assert.Equal(t, 4, f.starts)
+	f.advance(10500 * time.Millisecond)
 	assert.Equal(t, 4, f.countRunning("a"), "they run on another worker after the lease")
 }
 
--- a/guavaqueue/fleet_test.go
+++ b/guavaqueue/fleet_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavaclock"
 )
 
 type (
@@ -48,7 +49,10 @@
 		// take effect up to maxStartDelay afterwards.
 		lostStartShare float64
 		maxStartDelay  time.Duration
-		rand           *rand.Rand
+		// ordersOutliveBoots is set if a start that takes effect later may do so
+		// after a restart of its worker.
+		ordersOutliveBoots bool
+		rand               *rand.Rand
 		// done holds the completed tasks whose ends the owner has acknowledged, and
 		// startedAt when a run of a task last started.
 		done        map[guavascale.TaskRef]bool
@@ -107,6 +111,9 @@
 		// longer listed by the platform.
 		unreachable bool
 		removed     bool
+		// ignoresOrders is set if all orders but holds, ignoresHolds if holds get no
+		// answer, which takes no effect. hidesClock is set if no answer tells the clock.
+		ignoresOrders, ignoresHolds, hidesClock bool
 		// failAll makes all runs fail.
 		failAll bool
 		// slowdown is the factor by which runs take longer, 0 for 1; stuck runs
@@ -141,6 +148,8 @@
 	fleetTick     = 25 * time.Millisecond
 	testStopGrace = 100 * time.Millisecond
 	testLeaseMax  = 6 * time.Second
+	// testOrderDelay is how long orders may take to be carried out.
+	testOrderDelay = 12 * time.Second
 	// testLeaseBound is how long after the last commit leases end at the latest.
 	testLeaseBound = 5800 * time.Millisecond
 	// testDisturbMax is the setting of the platform's smaller sites.
@@ -156,7 +165,7 @@
 func newFleet(t testing.TB, workers int) *fleet {
 	f := &fleet{
 		t: t, now: testEpoch, lastCommit: testEpoch, limits: Limits{
-			LeaseMax: testLeaseMax, StopGrace: testStopGrace, OwnerLease: 5 * time.Second, Keep: time.Hour, RackPenalty: 2,
+			Terms: guavaclock.Terms{LeaseMax: testLeaseMax, OrderDelay: testOrderDelay}, StopGrace: testStopGrace, OwnerLease: 5 * time.Second, Keep: time.Hour, RackPenalty: 2,
 			DisturbMax: testDisturbMax,
 		},
 		workers: make(map[guavascale.WorkerID]*fakeWorker), rows: make(map[string][]byte),
@@ -190,8 +199,11 @@
 	if w.pendingHold != nil {
 		f.pending = append(f.pending, pendingOrder{w.pendingHold.order, f.now})
 	}
-	// Orders that have not reached the old process are lost with it.
-	f.delayedStarts = slices.DeleteFunc(f.delayedStarts, func(l delayedStart) bool { return l.worker == w.info.ID })
+	// Orders that have not reached the old process are lost with it, but for those that
+	// are still on the network.
+	if !f.ordersOutliveBoots {
+		f.delayedStarts = slices.DeleteFunc(f.delayedStarts, func(l delayedStart) bool { return l.worker == w.info.ID })
+	}
 	w.bootTime = f.now.Add(-time.Duration(f.rand.IntN(1000)+1) * time.Millisecond)
 	w.info.Born = f.now.UnixMilli()
 	w.token, w.leaseEnd, w.lastEndNumber, w.ended, w.pendingHold = 0, 0, 0, nil, nil
@@ -216,11 +228,11 @@
 		rows = append(rows, guavascale.Row{Key: k, Value: v})
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	leasesEnd := f.now.Add(LongestLease(testLeaseMax))
+	leasesEnd := f.now.Add(guavaclock.LongestLease(testLeaseMax))
 	if bound := f.lastCommit.Add(testLeaseBound); bound.Before(leasesEnd) {
 		leasesEnd = bound
 	}
-	leasesEnd = leasesEnd.Add(LeaseExpiryMargin)
+	leasesEnd = leasesEnd.Add(guavaclock.ExpiryMargin)
 	if err := f.engine.Restore(f.now, rows, leasesEnd); err != nil {
 		f.t.Fatal(err)
 	}
@@ -304,6 +316,14 @@
 // clock returns the time on the worker's own clock.
 func (w *fakeWorker) clock(now time.Time) time.Duration { return now.Sub(w.bootTime) }
 
+// reading returns what the worker tells of its clock.
+func (w *fakeWorker) reading(now time.Time) guavascale.WorkerClock {
+	if w.hidesClock {
+		return 0
+	}
+	return guavascale.WorkerClock(w.clock(now))
+}
+
 // endRun ends a run and records its outcome for the next report.
 func (f *fleet) endRun(w *fakeWorker, id guavascale.Run, how guavascale.RunOutcome) {
 	delete(w.runs, id)
@@ -335,7 +355,7 @@
 		f.engine.Answer(f.now, o, Outcome{Err: refusal(w, guavascale.RefusedBoot)})
 	case !w.backAt.IsZero():
 		f.engine.Answer(f.now, o, Outcome{Err: errRefused})
-	case w.removed || w.unreachable:
+	case w.removed || w.unreachable || w.ignoresOrders && o.Kind != OrderHold || w.ignoresHolds && o.Kind == OrderHold:
 		f.pending = append(f.pending, pendingOrder{o, f.now.Add(o.Timeout)})
 	case o.Kind == OrderHold:
 		f.holds++
@@ -386,7 +406,7 @@
 }
 
 func (f *fleet) execute(w *fakeWorker, o Order) Outcome {
-	out := Outcome{Clock: guavascale.WorkerClock(w.clock(f.now))}
+	out := Outcome{Clock: w.reading(f.now)}
 	switch o.Kind {
 	case OrderStart:
 		out.Err = f.start(w, o.Start)
@@ -477,10 +497,17 @@
 // report.
 func (f *fleet) answerHolds() {
 	for _, w := range f.workers {
-		if w.pendingHold == nil || w.removed || w.unreachable {
+		if w.pendingHold == nil {
 			continue
 		}
 		o := w.pendingHold.order
+		if w.removed || w.unreachable || w.ignoresHolds {
+			if !f.now.Before(o.Sent.Add(o.Timeout)) {
+				w.pendingHold = nil
+				f.engine.Answer(f.now, o, Outcome{Err: errNoAnswer})
+			}
+			continue
+		}
 		if len(w.ended) == 0 && f.now.Before(w.pendingHold.due) {
 			continue
 		}
@@ -495,7 +522,7 @@
 			f.partialReports++
 		}
 		rep := guavascale.RunReport{
-			Clock: guavascale.WorkerClock(w.clock(f.now)), Born: w.info.Born, Ended: append([]guavascale.RunEnd(nil), ended...),
+			Clock: w.reading(f.now), Born: w.info.Born, Ended: append([]guavascale.RunEnd(nil), ended...),
 		}
 		for id, r := range w.runs {
 			if r.work > 0 && !w.stuck {
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -24,8 +24,8 @@
 //
 // A run whose start order got no response may still start later. It keeps its task
 // and its resources until the worker reports it, until the worker confirms a stop
-// and no longer reports it, or until its lease must have expired by the worker's
-// own clock.
+// and no longer reports it, or until its lease must have expired, by the worker's own
+// clock or, where that is unknown, by the owner's (package guavaclock).
 package guavaqueue
 
 import (
@@ -33,6 +33,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavabinding"
+	"guavascale.example/guavaclock"
 	"guavascale.example/guavaobjective"
 	"guavascale.example/guavapair"
 	"guavascale.example/guavarefusal"
@@ -74,6 +75,8 @@
 		deposed bool
 		// soleOwner is set while no other daemon can own the shard.
 		soleOwner bool
+		// answeredSent is when the latest order was sent that a worker has answered.
+		answeredSent time.Time
 		// firstHolds counts the holds in progress to workers that are not known.
 		firstHolds int
 		// leasesUntil bounds the leases that are granted in this pass.
@@ -128,8 +131,7 @@
 
 	// Limits holds guarantees and settings that the scheduling depends on.
 	Limits struct {
-		// LeaseMax is the longest lease that a worker grants.
-		LeaseMax time.Duration
+		guavaclock.Terms
 		// StopGrace is the longest time that a worker takes to stop a run.
 		StopGrace time.Duration
 		// OwnerLease is how long an owner that can't commit continues to give
@@ -297,8 +299,11 @@
 		sentAt       time.Time
 		startedAt    time.Time
 		startPending bool
-		stopSentAt   time.Time
-		percent      int
+		// startEnd is the latest lease end in a start order to the current boot of
+		// the worker, which refuses the order afterwards.
+		startEnd   time.Duration
+		stopSentAt time.Time
+		percent    int
 		// progressAt is when percent last changed.
 		progressAt  time.Time
 		pace        int
@@ -340,18 +345,13 @@
 		used    guavascale.Resources
 		// fillerMilliCores is the sum of the declared processors of fillers.
 		fillerMilliCores int64
-		// aliveAt is the latest time at which the worker was certainly running.
-		aliveAt time.Time
-		// clock is the last reading of the worker's clock, from a call that was
-		// answered at clockAt.
-		clock   time.Duration
-		clockAt time.Time
-		// boundClock is the reading, from a call that was sent at boundSent, that
-		// gives the lowest upper bound of the worker's clock.
-		boundClock time.Duration
-		boundSent  time.Time
-		// leaseEnd is the latest lease end that was sent, by the worker's clock.
-		leaseEnd time.Duration
+		// aliveAt is the latest time at which the worker was certainly running, and
+		// askedAt when it was sent its first start after that.
+		aliveAt, askedAt time.Time
+		clock            guavaclock.Clock
+		lease            guavaclock.Lease
+		// jumpedAt is when the clock showed a restart that nothing else has shown yet.
+		jumpedAt time.Time
 		// seen is the number of the last end that was applied, acked that of the
 		// last end that is durable and may be forgotten by the worker.
 		seen, acked uint64
--- a/guavaqueue/missing.go
+++ b/guavaqueue/missing.go
@@ -54,20 +54,13 @@
 // reported records that a worker has answered or is gone. More is set if it has ends
 // that it has not listed yet.
 func (m *missingWorkers) reported(id guavascale.WorkerID, more bool) {
-	if _, missing := m.until[id]; missing && more {
+	delete(m.listing, id)
+	if more {
 		if m.listing == nil {
 			m.listing = make(map[guavascale.WorkerID]bool)
 		}
 		m.listing[id] = true
 	}
-	if !more {
-		delete(m.listing, id)
-	}
-	m.remove(id)
-}
-
-// remove removes a worker that needn't be waited for any more.
-func (m *missingWorkers) remove(id guavascale.WorkerID) {
 	delete(m.until, id)
 	m.dirty = m.dirty || m.recorded[id]
 }
@@ -78,7 +71,7 @@
 	expired := false
 	for id, until := range m.until {
 		if now.After(until) {
-			m.remove(id)
+			m.reported(id, false)
 			expired = true
 		}
 	}
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -163,7 +163,7 @@
 // and removes a worker that is gone.
 func (e *Engine) checkLease(now time.Time, w *worker, sole bool) {
 	silent := w.failedHolds > 0
-	if sole && (len(w.runs) > 0 || silent && e.missing.listing[w.ID]) && w.leaseExpired(now) {
+	if sole && (len(w.runs) > 0 || silent && e.missing.listing[w.ID]) && w.lease.Expired(now, w.clock) {
 		if w.processEnded {
 			e.recordCrash(now, w)
 		}
@@ -176,7 +176,7 @@
 			e.missing.reported(w.ID, false)
 		}
 	}
-	if !w.listed && len(w.runs) == 0 && !w.holdPending && (w.clockAt.IsZero() || w.leaseExpired(now)) {
+	if !w.listed && len(w.runs) == 0 && !w.holdPending && (!w.clock.Known() || w.lease.Expired(now, w.clock)) {
 		e.removeWorker(w)
 		if e.fleet[w.ID] {
 			e.fleetDirty = true
@@ -184,20 +184,16 @@
 	}
 }
 
-// extendLease extends the worker's lease and returns its end by the worker's
+// extendLease extends the worker's lease and returns its new end by the worker's
 // clock, or 0 if there is no reading of that clock or a later owner may count on
 // the worker's earlier leases.
 func (e *Engine) extendLease(now time.Time, w *worker) time.Duration {
-	if w.clockAt.IsZero() || e.missing.recorded[w.ID] {
+	if !w.clock.Known() || e.missing.recorded[w.ID] {
 		return 0
 	}
-	end := w.clockNow(now) + min(leaseDuration, e.Limits.LeaseMax)
-	if !e.leasesUntil.IsZero() {
-		// By then the worker's clock has reached this time even if it is slow.
-		end = min(end, w.clock+time.Duration(float64(e.leasesUntil.Sub(w.clockAt))*(1-maxClockDrift)))
-	}
-	w.leaseEnd = max(w.leaseEnd, end.Truncate(time.Millisecond))
-	return w.leaseEnd
+	var end time.Duration
+	w.lease, end = w.lease.Extend(now, w.clock, min(leaseDuration, e.Limits.LeaseMax), e.leasesUntil)
+	return end
 }
 
 // hold extends a worker's lease and asks for its report if a hold is due.
@@ -266,13 +262,17 @@
 }
 
 func (e *Engine) sendStart(now time.Time, r *run) {
-	r.startPending, r.sentAt = true, now
+	end := e.extendLease(now, r.worker)
+	if !r.worker.askedAt.After(r.worker.aliveAt) {
+		r.worker.askedAt = now
+	}
+	r.startPending, r.sentAt, r.startEnd = true, now, max(r.startEnd, end)
 	r.worker.pendingStarts++
 	e.orders = append(e.orders, Order{
 		Kind: OrderStart, Worker: r.worker.Worker, Run: r.id, Timeout: orderTimeout,
 		Start: guavascale.RunStart{
 			Run: r.id, Payload: r.task.step.sub.Payload, Checkpoint: r.task.checkpoint,
-			LeaseEnd: e.extendLease(now, r.worker), Token: e.Token,
+			LeaseEnd: end, Token: e.Token,
 		},
 	})
 }
@@ -298,7 +298,8 @@
 }
 
 // resend repeats unanswered stop orders of a worker, and start orders if mayStart is set.
-// A start is stopped instead if the worker may get no new runs any more.
+// A start is stopped instead if the worker may get no new runs any more, or has answered
+// none of its orders for too long.
 func (e *Engine) resend(now time.Time, w *worker, mayStart bool) {
 	if w.unsettledRuns == 0 {
 		return
@@ -313,12 +314,18 @@
 			}
 		case r.phase == phaseStarting && r.unanswered:
 			unsettled++
-			if !e.acceptsRuns(w) {
+			late := now.Sub(r.startedAt) > e.Limits.Longest()
+			if late {
+				r.task.avoidWorkers = append(r.task.avoidWorkers, w.ID)
+			}
+			if late || !e.acceptsRuns(w) {
 				e.stop(now, r)
 				continue
 			}
-			if mayStart && !r.startPending && now.Sub(r.sentAt) > resendAfter && e.fenced(w) && w.failedHolds == 0 &&
-				!e.missing.recorded[w.ID] {
+			// A worker that has been silent since gets no start, whose lease would have
+			// to be waited for.
+			if mayStart && !r.startPending && now.Sub(r.sentAt) > resendAfter && w.aliveAt.After(r.sentAt) &&
+				e.fenced(w) && w.failedHolds == 0 && !e.missing.recorded[w.ID] {
 				e.sendStart(now, r)
 			}
 		}
@@ -336,6 +343,9 @@
 	if refusal == guavascale.RefusedToken {
 		e.deposed = true
 	}
+	if out.Err == nil && o.Sent.After(e.answeredSent) {
+		e.answeredSent = o.Sent
+	}
 	// Another worker at the address says nothing about this one.
 	if o.Kind != OrderHold && (out.Err == nil || refusal != "" && refusal != guavascale.RefusedBoot) {
 		e.recordClock(now, o.Sent, w, out.Clock)
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -178,7 +178,14 @@
 // usable reports whether runs may be started on the worker now.
 func (e *Engine) usable(now time.Time, w *worker) bool {
 	return w.listed && e.fenced(w) && w.durable && !e.missing.recorded[w.ID] && w.failedHolds == 0 &&
-		!now.Before(w.backoffUntil) && w.pendingStarts < maxPendingStarts && e.acceptsRuns(w)
+		!now.Before(w.backoffUntil) && w.pendingStarts < maxPendingStarts && !e.overtaken(w) && e.acceptsRuns(w)
+}
+
+// overtaken reports whether the worker has not answered a start while others have
+// answered later orders. If it restarts behind a cut, all its starts have to be waited
+// for; an owner that is late itself sees no difference between workers.
+func (e *Engine) overtaken(w *worker) bool {
+	return w.askedAt.After(w.aliveAt) && e.answeredSent.Sub(w.askedAt) > resendAfter
 }
 
 // acceptsRuns reports whether the platform allows new runs on the worker. Without a
--- a/guavaqueue/takeover_test.go
+++ b/guavaqueue/takeover_test.go
@@ -110,8 +110,8 @@
 			continue
 		}
 		workerClock := f.workers[w.ID].clock(f.now)
-		assert.InDelta(t, workerClock.Seconds(), w.clockNow(f.now).Seconds(), 0.1)
-		assert.LessOrEqual(t, w.leaseEnd-workerClock, leaseDuration+100*time.Millisecond)
+		assert.InDelta(t, workerClock.Seconds(), w.clock.Latest(f.now).Seconds(), 0.1)
+		assert.LessOrEqual(t, w.lease.End-workerClock, leaseDuration+100*time.Millisecond)
 	}
 }
 
@@ -150,3 +150,20 @@
 	f.advance(time.Second)
 	assert.Equal(t, len(f.workers), f.engine.Stats(f.now).Known)
 }
+
+// Guards against a new owner that takes the longest lease that an earlier one may have
+// granted for its own, and extends leases beyond the time that the head promises.
+func TestNewOwnerExtendsNoLeaseBeyondTheBound(t *testing.T) {
+	f := newFleet(t, 2)
+	f.submit(serviceOf("a", 2))
+	f.advance(time.Second)
+	f.storeDown = true
+	f.advance(3 * time.Second)
+	last := f.lastCommit
+	f.replaceOwner()
+	f.advance(time.Second)
+	require.Equal(t, last, f.lastCommit)
+	for _, w := range f.workers {
+		assert.LessOrEqual(t, w.leaseEnd-w.clock(f.now), last.Add(testLeaseBound).Sub(f.now))
+	}
+}
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavaclock"
 )
 
 const (
@@ -12,17 +13,6 @@
 	// Starts are not stored, so an owner has no record of the last attempt
 	// numbers of the one before.
 	attemptsPerOwner = 10_000
-	// maxClockDrift is the fraction by which a worker's clock may run slow.
-	maxClockDrift = 0.02
-	// maxClockLead bounds how fast a worker's clock may run: it gains at most
-	// one part in maxClockLead on the owner's.
-	maxClockLead = 1000
-	// LeaseExpiryMargin must pass after the end of a lease before the lease
-	// counts as expired.
-	LeaseExpiryMargin = 250 * time.Millisecond
-	// clockJumpTolerance is how far a clock reading may lie outside the expected
-	// range before the worker counts as restarted.
-	clockJumpTolerance = 300 * time.Millisecond
 	// leaseDuration is how far ahead leases are extended. It lets runs survive a
 	// change of the owner, which takes up to 4 s.
 	leaseDuration = 5500 * time.Millisecond
@@ -37,12 +27,6 @@
 	retryDelay = 50 * time.Millisecond
 )
 
-// LongestLease returns how long a lease of the given duration on a worker's clock may
-// last.
-func LongestLease(onWorker time.Duration) time.Duration {
-	return time.Duration(float64(onWorker) * (1 + maxClockDrift))
-}
-
 // SetWorker adds or updates a worker from the platform's worker list.
 func (e *Engine) SetWorker(now time.Time, w guavascale.Worker) {
 	ws := e.workers[w.ID]
@@ -92,17 +76,23 @@
 }
 
 // handleRestart marks the runs of a restarted worker as lost, except those whose
-// start order may still arrive.
+// start order may have reached the new boot or may still do so.
 func (e *Engine) handleRestart(now time.Time, w *worker, born int64) {
 	e.recordCrash(now, w)
 	for _, r := range w.runs {
+		if r.phase == phaseRunning && !w.jumpedAt.IsZero() && !r.confirmedAt.Before(w.jumpedAt) {
+			// The new boot has confirmed it.
+			r.phase, r.unanswered, r.confirmedAt, r.startEnd = phaseStarting, true, time.Time{}, 0
+			w.unsettledRuns++
+			continue
+		}
 		if r.unanswered || r.startPending && r.phase == phaseStarting {
 			// The start order may still reach the restarted worker, whose
 			// restarted clock can't show that the order's lease has ended. A
 			// stop order keeps the run from starting there.
 			r.confirmedAt = time.Time{}
 			r.phase = phaseStopping
-			r.startPending, r.stopSentAt = false, time.Time{}
+			r.startPending, r.startBroke, r.startEnd, r.stopSentAt = false, false, 0, time.Time{}
 			w.unsettledRuns++
 			continue
 		}
@@ -110,57 +100,40 @@
 	}
 	e.emitWorker(now, w, "Restarted", "")
 	delete(e.missing.listing, w.ID)
-	w.Born, w.leaseEnd = born, 0
+	w.Born, w.lease = born, w.lease.Restarted(e.Limits.Terms)
 	w.resetEnds()
-	w.clockAt, w.holdAt = time.Time{}, time.Time{}
+	w.clock, w.holdAt, w.jumpedAt = guavaclock.Clock{}, time.Time{}, time.Time{}
 	w.known, w.bootConfirmed, w.holdPending, w.failedHolds, w.processEnded = false, false, false, 0, false
 }
 
 // recordClock records a reading of a worker's clock from the response to a call
-// that was sent at sent. A jump of the clock shows that the worker has restarted,
-// even if nothing else does.
-func (e *Engine) recordClock(now, sent time.Time, w *worker, clock guavascale.WorkerClock) {
-	w.failedHolds, w.processEnded = 0, false
-	w.aliveAt = now
-	if clock == 0 {
+// that was sent at sent. It may show that the worker has restarted.
+func (e *Engine) recordClock(now, sent time.Time, w *worker, reading guavascale.WorkerClock) {
+	w.processEnded, w.aliveAt = false, now
+	if reading == 0 {
 		return
 	}
-	read := time.Duration(clock)
-	if !w.clockAt.IsZero() {
-		passed := sent.Sub(w.clockAt)
-		if passed > 0 {
-			passed = time.Duration(float64(passed) * (1 - maxClockDrift))
-		}
-		if read < w.clock+passed-clockJumpTolerance || read > w.clockNow(now)+clockJumpTolerance {
-			// The next report shows which runs are left.
-			w.resetEnds()
-			w.known, w.bootConfirmed = false, false
-			w.clockAt = time.Time{}
-		}
-	}
-	if w.clockAt.IsZero() || read+now.Sub(sent) <= w.clockNow(now) {
-		w.boundClock, w.boundSent = read, sent
+	clock, restarted := w.clock.Read(now, sent, time.Duration(reading))
+	if w.clock = clock; !restarted {
+		return
 	}
-	if read > w.clock || w.clockAt.IsZero() {
-		w.clock, w.clockAt = read, now
+	// The next report shows which runs are left.
+	w.resetEnds()
+	w.known, w.bootConfirmed, w.jumpedAt = false, false, now
+	w.lease = w.lease.Restarted(e.Limits.Terms)
+	w.lease.End = clock.Low + e.Limits.LeaseMax
+	for _, r := range w.runs {
+		r.startEnd = 0
 	}
 }
 
-// clockNow returns an upper bound of the worker's clock: a reading was taken after
-// its call had been sent.
-func (w *worker) clockNow(now time.Time) time.Duration {
-	passed := now.Sub(w.boundSent)
-	return w.boundClock + passed + passed/maxClockLead
-}
-
-// leaseExpired reports whether the lease of the worker must have expired, also if
-// its clock is as slow as maxClockDrift allows.
-func (w *worker) leaseExpired(now time.Time) bool {
-	if w.clockAt.IsZero() {
-		return false
+// startIsDead reports whether a report without the run, the response to a request that
+// was sent at sent, shows that no start order of it takes effect any more.
+func (r *run) startIsDead(sent time.Time, reading guavascale.WorkerClock) bool {
+	if !r.confirmedAt.IsZero() {
+		return r.confirmedAt.Before(sent)
 	}
-	atLeast := w.clock + time.Duration(float64(now.Sub(w.clockAt))*(1-maxClockDrift))
-	return atLeast > w.leaseEnd+LeaseExpiryMargin
+	return time.Duration(reading) > r.startEnd && sent.After(r.worker.lease.StrayUntil)
 }
 
 // applyReport applies a worker's report, the response to a request that was sent
@@ -176,7 +149,10 @@
 		w.Born = rep.Born
 	}
 	e.recordClock(now, sent, w, rep.Clock)
-	w.reportedAt = now
+	w.reportedAt, w.failedHolds = now, 0
+	if !w.clock.Known() {
+		w.lease.StrayUntil = now.Add(e.Limits.Longest())
+	}
 	if e.listedRuns == nil {
 		e.listedRuns = make(map[guavascale.Run]bool)
 	}
@@ -203,7 +179,7 @@
 	w.seen, w.moreEnds = last, e.Limits.EndsPerReport > 0 && len(rep.Ended) >= e.Limits.EndsPerReport
 	w.ackDurableEnds()
 	for _, r := range w.runs {
-		if !w.moreEnds && !listed[r.id] && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
+		if !w.moreEnds && !listed[r.id] && r.startIsDead(sent, rep.Clock) {
 			e.markLost(now, r, "missing from the worker's report")
 		}
 	}
@@ -215,7 +191,7 @@
 	if first {
 		// An earlier owner, or this one before the worker restarted, may have
 		// granted a lease of up to LeaseMax.
-		w.leaseEnd = max(w.leaseEnd, w.clock+e.Limits.LeaseMax)
+		w.lease.End = max(w.lease.End, w.clock.Low+e.Limits.LeaseMax)
 		w.known = true
 		e.emitWorker(now, w, "Known", "")
 	}
--- a/guavascheduler/claim.go
+++ b/guavascheduler/claim.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavaclock"
 	"guavascale.example/guavaowner"
-	"guavascale.example/guavaqueue"
 )
 
 // claim is a claim of the shard that was sent. It is repeated unchanged while it may
@@ -78,7 +78,7 @@
 	commit, _ := chain.Next(newID(), nil, false, "")
 	return &claim{
 		chain: *chain, commit: commit, start: now,
-		leasesEnd: c.LeasesEnd(now, s.Limits.OwnerLease, guavaqueue.LongestLease(s.Limits.LeaseMax)).Add(guavaqueue.LeaseExpiryMargin),
+		leasesEnd: c.LeasesEnd(now, s.Limits.OwnerLease, guavaclock.LongestLease(s.Limits.LeaseMax)).Add(guavaclock.ExpiryMargin),
 	}
 }
 
--- a/guavascheduler/commit.go
+++ b/guavascheduler/commit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavaclock"
 	"guavascale.example/guavaqueue"
 )
 
@@ -118,7 +119,7 @@
 // owners must have ended, which may be of a version without the bound.
 func (t *term) promiseLeaseBound() {
 	s := t.scheduler
-	if t.chain.LeaseBoundMs == 0 && s.Clock.Now().Sub(t.startedAt) > s.Limits.OwnerLease+guavaqueue.LongestLease(s.Limits.LeaseMax)+guavaqueue.LeaseExpiryMargin {
+	if t.chain.LeaseBoundMs == 0 && s.Clock.Now().Sub(t.startedAt) > s.Limits.OwnerLease+guavaclock.LongestLease(s.Limits.LeaseMax)+guavaclock.ExpiryMargin {
 		t.chain.LeaseBoundMs = leaseBound.Milliseconds()
 	}
 }
