guavaowner: the leases of an owner outlast its successor

A daemon that claimed the shard after one that had left counted the leases of all earlier owners from the present time. The owner before that one may be disconnected from the store, not know yet that it has been replaced, and give orders for OwnerLease after its last commit. If the daemon in between claims and leaves soon, as in a rolling restart, the wait for workers that are missing ended too early: the task of such a worker would start elsewhere while it may still run. The same for a process that finds the claim of an earlier process at its address.

Cause: the head tells when its own owner stopped, and was taken to tell it of all owners before.

--- a/guavaowner/guavaowner.go
+++ b/guavaowner/guavaowner.go
@@ -55,6 +55,9 @@
 		// none ends later than this after the owner's last commit. 0 means that
 		// there is no such bound, as in earlier versions.
 		LeaseBoundMs int64 `json:",omitempty"`
+		// EarlierLeasesMs is how long after the commit the leases of earlier epochs
+		// may last. Earlier versions don't tell.
+		EarlierLeasesMs int64 `json:",omitempty"`
 	}
 
 	// Candidate is a daemon that does not own the shard.
@@ -169,6 +172,10 @@
 		lastOrder = now
 	}
 	end := lastOrder.Add(maxLease)
+	// An owner before that one may not know yet that it has been replaced.
+	if earlier := c.since.Add(time.Duration(c.head.EarlierLeasesMs) * time.Millisecond); earlier.After(end) {
+		end = earlier
+	}
 	if c.head.LeaseBoundMs > 0 {
 		bound := c.since.Add(time.Duration(c.head.LeaseBoundMs) * time.Millisecond)
 		if bound.Before(end) {
--- a/guavaowner/guavaowner_test.go
+++ b/guavaowner/guavaowner_test.go
@@ -167,6 +167,9 @@
 		"bounded leases":          {Head{Owner: "other-1", Address: "other", LeaseBoundMs: 9000}, 9 * time.Second},
 		"bound beyond the leases": {Head{Owner: "other-1", Address: "other", LeaseBoundMs: 30_000}, ownerLease + maxLease},
 		"bounded, left":           {Head{Owner: "other-1", Address: "other", Left: true, LeaseBoundMs: 9000}, 9 * time.Second},
+		"left soon":               {Head{Owner: "other-1", Address: "other", Left: true, EarlierLeasesMs: 14_000}, 14 * time.Second},
+		"left soon, bounded":      {Head{Owner: "other-1", Address: "other", Left: true, EarlierLeasesMs: 14_000, LeaseBoundMs: 9000}, 9 * time.Second},
+		"left late":               {Head{Owner: "other-1", Address: "other", Left: true, EarlierLeasesMs: 500}, silent + maxLease},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/guavascheduler/claim.go
+++ b/guavascheduler/claim.go
@@ -74,14 +74,15 @@
 // newClaim returns a claim that has not been sent.
 func (s *Scheduler) newClaim(c *guavaowner.Candidate, chain *guavaowner.Chain) *claim {
 	now := s.Clock.Now()
+	leasesEnd := c.LeasesEnd(now, s.Limits.OwnerLease, guavaclock.LongestLease(s.Limits.LeaseMax)).Add(guavaclock.ExpiryMargin)
+	chain.EarlierLeasesMs = remainingMs(leasesEnd, now)
 	// Next fails only while an earlier commit of the chain is not settled.
 	commit, _ := chain.Next(newID(), nil, false, "")
-	return &claim{
-		chain: *chain, commit: commit, start: now,
-		leasesEnd: c.LeasesEnd(now, s.Limits.OwnerLease, guavaclock.LongestLease(s.Limits.LeaseMax)).Add(guavaclock.ExpiryMargin),
-	}
+	return &claim{chain: *chain, commit: commit, start: now, leasesEnd: leasesEnd}
 }
 
+func remainingMs(end, now time.Time) int64 { return max(0, end.Sub(now).Milliseconds()) }
+
 // sendClaim sends the current claim. It returns nil unless the claim was applied.
 func (s *Scheduler) sendClaim(ctx context.Context) *claim {
 	claimed, start := s.sentClaim, s.Clock.Now()
--- a/guavascheduler/claim_test.go
+++ b/guavascheduler/claim_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
+	"guavascale.example/guavaclock"
 	"guavascale.example/guavafake"
 	"guavascale.example/guavaowner"
 )
@@ -102,3 +103,32 @@
 	cancel()
 	<-ended
 }
+
+// Guards against an owner that takes the leases of a disconnected owner as ended because
+// a third one has claimed and released the shard in between.
+func TestLeasesOfAnOwnerOutlastItsSuccessor(t *testing.T) {
+	clock, table := &manualClock{}, &guavafake.Table{}
+	clock.advance(time.Hour)
+	disconnected := guavaowner.Chain{Head: guavaowner.Head{Epoch: 3, Owner: "a", Address: "a"}}
+	commit, err := disconnected.Next("claim", nil, false, "")
+	require.NoError(t, err)
+	_, err = table.Commit(t.Context(), commit)
+	require.NoError(t, err)
+	s := newTerm(clock, &countingRunner{}).scheduler
+	s.Instance, s.Address, s.Table, s.Limits.LeaseMax = "b", "b", table, 6*time.Second
+	c := &guavaowner.Candidate{Owner: s.Instance, Address: s.Address}
+	h, version, err := s.readHead(t.Context(), time.Second)
+	require.NoError(t, err)
+	c.Record(clock.Now(), h, version)
+	clock.advance(2 * guavaowner.SilentFor)
+	claimed := s.tryClaim(t.Context(), c, false)
+	require.NotNil(t, claimed)
+	tm := &term{scheduler: s, chain: claimed.chain, leasesEnd: claimed.leasesEnd}
+	require.NoError(t, tm.attemptCommit(t.Context(), nil, true))
+	h, version, err = s.readHead(t.Context(), time.Second)
+	require.NoError(t, err)
+	next := guavaowner.Candidate{Owner: "c", Address: "c"}
+	next.Record(clock.Now(), h, version)
+	end := next.LeasesEnd(clock.Now(), s.Limits.OwnerLease, guavaclock.LongestLease(s.Limits.LeaseMax))
+	assert.False(t, end.Before(claimed.leasesEnd.Truncate(time.Millisecond)), "%s before %s", end, claimed.leasesEnd)
+}
--- a/guavascheduler/commit.go
+++ b/guavascheduler/commit.go
@@ -48,6 +48,7 @@
 	}
 	successor, strongest := t.scheduler.successors.strongest(t.scheduler.Clock.Now())
 	t.chain.Strongest = max(strongest, t.scheduler.Strength)
+	t.chain.EarlierLeasesMs = remainingMs(t.leasesEnd, t.scheduler.Clock.Now())
 	t.promiseLeaseBound()
 	if !leave {
 		successor = ""
--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -246,6 +246,7 @@
 		scheduler: s,
 		engine:    guavaqueue.Engine{Token: c.chain.Epoch, Limits: s.Limits},
 		chain:     c.chain,
+		leasesEnd: c.leasesEnd,
 		events:    make(chan func(), eventQueueSize),
 		done:      make(chan struct{}),
 		startedAt: s.Clock.Now(),
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -25,6 +25,8 @@
 	engine    guavaqueue.Engine
 	// chain is accessed by the commit in progress, or by run if there is none.
 	chain guavaowner.Chain
+	// leasesEnd is when all leases of earlier owners must have ended.
+	leasesEnd time.Time
 	// events holds functions that other goroutines post for execution by run.
 	// done is closed when the term ends.
 	events chan func()
