guavarow: the sizes of missing workers are only counted if they don't fit

The row of missing workers is written each second while workers are missing, and encoded the ID of each worker twice.

--- a/guavarow/workers.go
+++ b/guavarow/workers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -92,6 +93,11 @@
 // EncodeMissing returns the value of the row MissingKey, and removes the workers from m
 // that don't fit.
 func EncodeMissing(m *Missing) ([]byte, error) {
+	data, err := Encode(MissingKey, m)
+	var large *SizeError
+	if !errors.As(err, &large) {
+		return data, err
+	}
 	room := MaxBytes - len(`{"Token":18446744073709551615,"WaitMs":{}}`)
 	for _, id := range slices.Sorted(maps.Keys(m.WaitMs)) {
 		if size := quotedSize(id) + len(`:-9223372036854775808,`); size <= room {
