guavascheduler: a refused commit is settled before callers are told

If the store refuses a commit of which an earlier copy had no answer, the head was read, and the commit was taken for refused if the head was an older one. The copy may still be on its way and be applied after that read: callers would have been told that nothing was stored (SETTLE_BY_READ in spec/chain.pml).

A heartbeat with the same condition is written first: once it is applied, the copy fails its condition. If the copy was applied instead, the chain doesn't know the head and the term ends without an answer to the callers.

Failed before: TestLateCopyOfRefusedCommitIsNotRefused (a RefusedError).

--- a/guavascheduler/refusal.go
+++ b/guavascheduler/refusal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"guavascale.example"
@@ -17,7 +18,9 @@
 
 // settleRefusal returns the outcome of a commit of which an attempt that started at the
 // given time or later was refused for good. If an earlier attempt may have been applied,
-// the head shows whether it was: the store refuses the same content from now on.
+// the head shows whether it was. An attempt that is still on its way can't be applied any
+// more once another commit has written the head; until then nobody may be told that the
+// content was refused.
 func (t *term) settleRefusal(ctx context.Context, firstStart time.Time, refusal error, mayHaveApplied bool) (applied bool, err error) {
 	if !mayHaveApplied {
 		t.chain.Refused()
@@ -27,10 +30,24 @@
 	if applied {
 		t.recordCommit(firstStart)
 	}
-	if applied || err != nil {
-		return applied, err
+	for !applied && err == nil {
+		var heartbeat guavascale.Commit
+		if heartbeat, err = t.chain.Next(newID(), nil, false, ""); err != nil {
+			break
+		}
+		written, heartbeatErr := t.settle(ctx, heartbeat)
+		var unavailable *guavascale.UnavailableError
+		switch {
+		case written:
+			return false, refusal
+		case errors.As(heartbeatErr, &unavailable):
+			sleep(ctx, commitRetryDelay)
+		case heartbeatErr != nil:
+			// Not wrapped: an error of the heartbeat doesn't tell the outcome of the commit.
+			err = fmt.Errorf("the outcome of a refused commit is unknown: %v", heartbeatErr)
+		}
 	}
-	return false, refusal
+	return applied, err
 }
 
 // refuse handles a batch, or a heartbeat if b is nil, that the store refuses for good.
--- a/guavascheduler/refusal_test.go
+++ b/guavascheduler/refusal_test.go
@@ -17,13 +17,15 @@
 
 // refusingTable refuses each commit with other rows than the head, and keeps the head. It
 // applies the first commit without an answer if loseFirst is set, and has no answer to it
-// either way if silentFirst is set.
+// either way if silentFirst is set. If lateFirst is set, it applies the first commit once
+// the third arrives.
 type refusingTable struct {
 	guavascale.Table
-	mu                     sync.Mutex
-	silentFirst, loseFirst bool
-	commits                int
-	head                   guavascale.Row
+	mu                                sync.Mutex
+	silentFirst, loseFirst, lateFirst bool
+	commits                           int
+	first                             guavascale.Commit
+	head                              guavascale.Row
 }
 
 func (r *refusingTable) Commit(_ context.Context, c guavascale.Commit) (uint64, error) {
@@ -31,11 +33,18 @@
 	defer r.mu.Unlock()
 	r.commits++
 	first := r.commits == 1
+	if first {
+		r.first = c
+	}
+	if r.commits == 3 && r.lateFirst {
+		r.head = guavascale.Row{Key: guavaowner.HeadKey, Version: r.head.Version + 1, Value: r.first.Writes[0].Value}
+		return 0, &guavascale.ConditionError{Key: guavaowner.HeadKey}
+	}
 	if len(c.Writes) == 1 || first && r.loseFirst {
 		r.head = guavascale.Row{Key: guavaowner.HeadKey, Version: r.head.Version + 1, Value: c.Writes[0].Value}
 	}
 	switch {
-	case first && (r.silentFirst || r.loseFirst):
+	case first && (r.silentFirst || r.loseFirst || r.lateFirst):
 		return 0, &guavascale.UnavailableError{System: "store", Op: "commit", MayHaveApplied: true, Cause: errors.New("test")}
 	case len(c.Writes) > 1:
 		return 0, &guavascale.RefusedError{System: "store", Op: "commit", Bytes: 70_000, Cause: errors.New("status 413")}
@@ -62,7 +71,7 @@
 		commits int
 	}{
 		"refused at once":       {&refusingTable{}, false, 1},
-		"unknown, then refused": {&refusingTable{silentFirst: true}, false, 2},
+		"unknown, then refused": {&refusingTable{silentFirst: true}, false, 3},
 		"applied, then refused": {&refusingTable{loseFirst: true}, true, 2},
 	}
 	for name, tc := range cases {
@@ -86,6 +95,22 @@
 	}
 }
 
+// Guards against callers who are told that a commit was refused, though a copy of it was
+// applied after the head had been read.
+func TestLateCopyOfRefusedCommitIsNotRefused(t *testing.T) {
+	tm := newTerm(&manualClock{}, &countingRunner{})
+	table := &refusingTable{}
+	tm.scheduler.Table = table
+	tm.chain = guavaowner.Chain{Head: guavaowner.Head{Epoch: 3, Owner: "a"}}
+	require.NoError(t, tm.attemptCommit(t.Context(), nil, false), "the head of the term")
+	table.commits, table.lateFirst = 0, true
+	err := tm.attemptCommit(t.Context(), &guavaqueue.Batch{Writes: []guavascale.Write{{Key: "Progress/a"}}}, false)
+	require.Error(t, err)
+	assert.False(t, isRefusal(err), err)
+	var unavailable *guavascale.UnavailableError
+	assert.False(t, errors.As(err, &unavailable), err)
+}
+
 // Guards against a term that ends, or that commits no heartbeat, because of a row that the
 // store refuses.
 func TestTermGoesOnAfterRefusal(t *testing.T) {
