guavaowner: a head of an earlier version tells nothing of earlier leases

A head without an ID is of an earlier version. Its owner's leaving ends the wait no sooner than the owner's silence would.

Failed before: TestLeasesEnd, "left, earlier version" (12 s instead of 15 s). The other cases of the test have heads with an ID now, as this version writes them, and expect the same times.

--- a/guavaowner/guavaowner.go
+++ b/guavaowner/guavaowner.go
@@ -167,7 +167,9 @@
 // grants.
 func (c *Candidate) LeasesEnd(now time.Time, ownerLease, maxLease time.Duration) time.Time {
 	lastOrder := c.since.Add(ownerLease)
-	stopped := c.head.Left || c.head.Address == c.Address
+	// A head without an ID is of an earlier version and doesn't tell how long the leases
+	// of the owners before it may last.
+	stopped := c.head.ID != "" && (c.head.Left || c.head.Address == c.Address)
 	if stopped && now.Before(lastOrder) {
 		lastOrder = now
 	}
--- a/guavaowner/guavaowner_test.go
+++ b/guavaowner/guavaowner_test.go
@@ -161,15 +161,16 @@
 		head Head
 		want time.Duration
 	}{
-		"silent owner":            {Head{Owner: "other-1", Address: "other"}, ownerLease + maxLease},
-		"owner that left":         {Head{Owner: "other-1", Address: "other", Left: true}, silent + maxLease},
-		"process of this host":    {Head{Owner: "me-0", Address: "here"}, silent + maxLease},
-		"bounded leases":          {Head{Owner: "other-1", Address: "other", LeaseBoundMs: 9000}, 9 * time.Second},
-		"bound beyond the leases": {Head{Owner: "other-1", Address: "other", LeaseBoundMs: 30_000}, ownerLease + maxLease},
-		"bounded, left":           {Head{Owner: "other-1", Address: "other", Left: true, LeaseBoundMs: 9000}, 9 * time.Second},
-		"left soon":               {Head{Owner: "other-1", Address: "other", Left: true, EarlierLeasesMs: 14_000}, 14 * time.Second},
-		"left soon, bounded":      {Head{Owner: "other-1", Address: "other", Left: true, EarlierLeasesMs: 14_000, LeaseBoundMs: 9000}, 9 * time.Second},
-		"left late":               {Head{Owner: "other-1", Address: "other", Left: true, EarlierLeasesMs: 500}, silent + maxLease},
+		"silent owner":            {Head{ID: "a", Owner: "other-1", Address: "other"}, ownerLease + maxLease},
+		"owner that left":         {Head{ID: "a", Owner: "other-1", Address: "other", Left: true}, silent + maxLease},
+		"left, earlier version":   {Head{Owner: "other-1", Address: "other", Left: true}, ownerLease + maxLease},
+		"process of this host":    {Head{ID: "a", Owner: "me-0", Address: "here"}, silent + maxLease},
+		"bounded leases":          {Head{ID: "a", Owner: "other-1", Address: "other", LeaseBoundMs: 9000}, 9 * time.Second},
+		"bound beyond the leases": {Head{ID: "a", Owner: "other-1", Address: "other", LeaseBoundMs: 30_000}, ownerLease + maxLease},
+		"bounded, left":           {Head{ID: "a", Owner: "other-1", Address: "other", Left: true, LeaseBoundMs: 9000}, 9 * time.Second},
+		"left soon":               {Head{ID: "a", Owner: "other-1", Address: "other", Left: true, EarlierLeasesMs: 14_000}, 14 * time.Second},
+		"left soon, bounded":      {Head{ID: "a", Owner: "other-1", Address: "other", Left: true, EarlierLeasesMs: 14_000, LeaseBoundMs: 9000}, 9 * time.Second},
+		"left late":               {Head{ID: "a", Owner: "other-1", Address: "other", Left: true, EarlierLeasesMs: 500}, silent + maxLease},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
