guavaqueue: a gang without room keeps no later steps off the workers

Callers would see accepted work that could run and doesn't, with the whole pool free: a gang that is wider than the room marks its size as one for which there is none, while a part of it is placed for a moment, and steps of the same kind that come later are not tried at all. Class: a result that holds for a temporary state is kept after the state is gone.

The mark is taken back with the placement.

Failed before: TestGangWithoutRoomBlocksNoOthers (still queued after a minute).

--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -147,6 +147,8 @@
 	for _, t := range st.tasks {
 		checkpoint = max(checkpoint, t.checkpoint)
 	}
+	class := placementClassOf(st)
+	full, wasFull := e.fullSizes[class]
 	placed := make([]*worker, 0, len(st.tasks))
 	for _, t := range st.tasks {
 		w := e.choose(now, st, q, t)
@@ -164,6 +166,10 @@
 		}
 	}
 	if len(placed) < len(st.tasks) {
+		// The room that a part of the gang would take is free again.
+		if delete(e.fullSizes, class); wasFull {
+			e.fullSizes[class] = full
+		}
 		return
 	}
 	for i, t := range st.tasks {
--- a/guavaqueue/submit_test.go
+++ b/guavaqueue/submit_test.go
@@ -75,3 +75,24 @@
 		})
 	}
 }
+
+// Guards against a gang that finds no room for all of its tasks and keeps later steps of
+// the same size off the workers for good.
+func TestGangWithoutRoomBlocksNoOthers(t *testing.T) {
+	f := newFleet(t, 10)
+	f.listWorkers()
+	first := batchOf("first", 1, 10, 10*time.Second)
+	first.Steps[0].Size.MilliCores = 3900
+	f.submit(first)
+	f.advance(time.Second)
+	gang := batchOf("gang", 1, 14, time.Second)
+	gang.Steps[0].Gang, gang.Steps[0].Size.MilliCores = true, 2500
+	f.submit(gang)
+	f.advance(200 * time.Millisecond)
+	later := batchOf("later", 1, 10, time.Second)
+	later.Steps[0].Size.MilliCores = 2500
+	f.submit(later)
+	f.advance(time.Minute)
+	state, _ := f.engine.State("later")
+	assert.Equal(t, guavascale.SubmissionCompleted, state)
+}
