guavaqueue: services that share a worker with their step move as well

Two faults of the moves: - A worker was vacated as a whole or not at all, so that one with two tasks of a step that may miss one task, or tells no limit, was never vacated, and placement puts such tasks together.

A worker is now vacated in several rounds, each with as many tasks as their steps allow; a step without a limit has half of its tasks as one. A task counts as at work only if its worker has answered lately. A start of a step that isn't waiting no longer counts as a beginning of its wait.

Failed before: TestMovesKeepStepsAtWork ("no limit" and "one"), TestSilentWorkerUsesUpTheLimitOfItsSteps (stops 3.3 s after the crash and later).

--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -247,7 +247,10 @@
 
 // start starts an attempt of a task on a worker.
 func (e *Engine) start(now time.Time, t *task, w *worker, attempt int64) {
-	t.attempt, t.step.waitingSince, t.step.starved = attempt, now, false
+	t.attempt, t.step.starved = attempt, false
+	if t.step.queued {
+		t.step.waitingSince = now
+	}
 	r := &run{
 		id: guavascale.Run{Task: t.ref(), Attempt: attempt}, task: t, worker: w,
 		sentAt: now, startedAt: now, startPending: true, pace: fullPace, heard: now.Sub(w.aliveAt) <= guavacrash.HeardTime,
--- a/guavaqueue/vacate.go
+++ b/guavaqueue/vacate.go
@@ -16,6 +16,9 @@
 	// maxMoving bounds the services of a window that are starting or stopping. Each of them
 	// needs the processors and the owner's time that others wait for.
 	maxMoving = 8
+	// maxReportAge is the age of a worker's report from which it may have crashed: a
+	// report is due each holdWait.
+	maxReportAge = 2 * holdWait
 	// vacancyWindow is the number of workers among which services move at a time, so that
 	// the cost doesn't grow with the fleet.
 	vacancyWindow = 256
@@ -94,7 +97,7 @@
 // vacancy returns the input of package guavavacancy for the worker.
 func (w *worker) vacancy(now time.Time) guavavacancy.Worker {
 	v := guavavacancy.Worker{
-		ID: w.ID, Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity.Sub(w.used), Fixed: now.Before(w.vacatedUntil),
+		ID: w.ID, Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity.Sub(w.used), Vacated: now.Before(w.vacatedUntil),
 	}
 	if w.serviceMilliCores == 0 {
 		return v
@@ -106,30 +109,41 @@
 		}
 		v.Services = append(v.Services, guavavacancy.Service{
 			Kind: st.spec.Kind, Size: st.spec.Size, Step: st,
-			MaxAway: max(st.spec.MaxAway, 1) - st.away(), PerWorker: st.spec.MaxPerWorker, Label: st.spec.Label,
+			MayStop: st.mayStop(now), PerWorker: st.spec.MaxPerWorker, Label: st.spec.Label,
 		})
 	}
 	return v
 }
 
-// away counts the tasks of a service step that are not at work.
-func (st *step) away() int {
-	n := 0
+// mayStop returns how many tasks of a service step may be stopped now. A step without a
+// limit has one all the same, so that most of it is at work at any time.
+func (st *step) mayStop(now time.Time) int {
+	limit := st.spec.MaxAway
+	if limit == 0 {
+		limit = max(1, len(st.tasks)/2)
+	}
 	for _, t := range st.tasks {
-		if len(t.runs) != 1 || t.runs[0].phase != phaseRunning || t.runs[0].percent < fullProgress {
-			n++
+		if len(t.runs) != 1 || !t.runs[0].atWork(now) {
+			limit--
 		}
 	}
-	return n
+	return limit
+}
+
+// atWork reports whether the service is at work as far as its worker has told lately. A
+// worker that is silent may have crashed long before its lease ends.
+func (r *run) atWork(now time.Time) bool {
+	w := r.worker
+	return r.phase == phaseRunning && r.percent >= fullProgress && w.failedHolds == 0 && now.Sub(w.reportedAt) < maxReportAge
 }
 
-// vacateWorker stops the services of a worker. They are placed again like any that has
-// ended.
+// vacateWorker stops those services of a worker that may stop now. They are placed again
+// like any that has ended.
 func (e *Engine) vacateWorker(now time.Time, w *worker) {
 	w.vacatedUntil = now.Add(vacatedTime)
 	e.emitWorker(now, w, "Vacated", "fillers wait for a worker without services")
 	for _, r := range w.runs {
-		if r.task.step.spec.Service {
+		if st := r.task.step; st.spec.Service && st.mayStop(now) > 0 {
 			e.stop(now, r)
 		}
 	}
--- a/guavaqueue/vacate_test.go
+++ b/guavaqueue/vacate_test.go
@@ -51,3 +51,83 @@
 	f.advance(2 * time.Second)
 	assert.Equal(t, workers, f.countRunning("service"))
 }
+
+// Guards against moves that take more tasks of a step down than may be, and against
+// services that never move since tasks of one step share a worker.
+func TestMovesKeepStepsAtWork(t *testing.T) {
+	cases := map[string]struct{ maxAway, down int }{
+		"no limit": {0, 2},
+		"one":      {1, 1},
+		"two":      {2, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			const workers, steps, tasks = 20, 10, 4
+			f := newFleet(t, workers)
+			for _, w := range f.workers {
+				w.info.Capacity = guavascale.Resources{MilliCores: 32_000, MemoryMB: 128_000}
+				w.tailLatency = 5 * time.Millisecond
+			}
+			f.listWorkers()
+			f.exclude("service", "heavy")
+			other := batchOf("other", 1, workers, 4*time.Second)
+			other.Steps[0].Size.MilliCores = 22_000
+			f.submit(other)
+			f.advance(time.Second)
+			for i := range steps {
+				s := serviceOf(fmt.Sprint("service", i), tasks)
+				s.Steps[0].Size.MilliCores, s.Steps[0].Kind, s.Steps[0].Target = 4800, "service", 18*time.Millisecond
+				s.Steps[0].MaxAway = c.maxAway
+				f.submit(s)
+			}
+			f.advance(4 * time.Second)
+			require.Equal(t, steps*tasks, f.countRunning("service"))
+			for i := range 10 {
+				f.submit(fillersOf(fmt.Sprint("heavy", i), "heavy", 8, time.Second))
+			}
+			for end := f.now.Add(30 * time.Second); f.now.Before(end); {
+				f.advance(fleetTick)
+				for i := range steps {
+					require.LessOrEqual(t, tasks-f.countRunning(fmt.Sprint("service", i)), c.down)
+				}
+			}
+			for i := range 10 {
+				state, _ := f.engine.State(fmt.Sprint("heavy", i))
+				assert.Equal(t, guavascale.SubmissionCompleted, state, "heavy%d", i)
+			}
+		})
+	}
+}
+
+// Guards against a move that stops a task of a step of which another is down already, on
+// a worker that has crashed and whose lease has not ended.
+func TestSilentWorkerUsesUpTheLimitOfItsSteps(t *testing.T) {
+	const tasks = 20
+	for delay := time.Duration(0); delay <= 3*time.Second; delay += 250 * time.Millisecond {
+		f := newFleet(t, tasks)
+		for _, w := range f.workers {
+			w.info.Capacity = guavascale.Resources{MilliCores: 32_000, MemoryMB: 128_000}
+			w.tailLatency = 5 * time.Millisecond
+		}
+		f.listWorkers()
+		f.exclude("service", "heavy")
+		s := serviceOf("service", tasks)
+		s.Steps[0].Size.MilliCores, s.Steps[0].Kind, s.Steps[0].Target = 6400, "service", 18*time.Millisecond
+		s.Steps[0].MaxAway, s.Steps[0].MaxPerWorker = 1, 1
+		f.submit(s)
+		f.advance(2 * time.Second)
+		// The services needn't stay apart from now on.
+		f.engine.subs["service"].steps[0].spec.MaxPerWorker = 0
+		crashed := f.workers["w5"]
+		crashed.unreachable, crashed.runs = true, nil
+		f.advance(delay)
+		for i := range 20 {
+			f.submit(fillersOf(fmt.Sprint("heavy", i), "heavy", 16, 3*time.Second))
+		}
+		f.advance(maxReportAge + time.Second - delay)
+		for end := f.now.Add(5 * time.Second); f.now.Before(end) && f.countRunning("service") < tasks; {
+			f.advance(fleetTick)
+			assert.GreaterOrEqual(t, f.countRunning("service"), tasks-1, "fillers %s after the crash, at %s", delay, f.elapsed())
+		}
+	}
+}
--- a/guavavacancy/guavavacancy.go
+++ b/guavavacancy/guavavacancy.go
@@ -29,8 +29,8 @@
 		Size guavascale.Resources
 		// Step identifies the step of the task. It must be comparable.
 		Step any
-		// MaxAway is how many more tasks of the step may be down now.
-		MaxAway int
+		// MayStop is how many more tasks of the step may be down now.
+		MayStop int
 		// PerWorker is the most tasks of the step on one worker, 0 for no limit.
 		PerWorker int
 		// Label is a label that the worker must have, or "".
@@ -45,8 +45,8 @@
 		// task has declared.
 		Capacity, Free guavascale.Resources
 		Services       []Service
-		// Fixed workers neither lose nor get services.
-		Fixed bool
+		// Vacated workers get no services, since others were moved away from them.
+		Vacated bool
 	}
 
 	// Demand is the waiting work of a kind of filler.
@@ -69,7 +69,8 @@
 const maxTries = 16
 
 // Choose returns the index of the worker whose services should move to other workers,
-// or -1 if vacating none would let more fillers start.
+// or -1 if vacating none would let more fillers start. Only some of the services may stop
+// at once; the rest makes the worker a better choice than others the next time.
 func Choose(workers []Worker, demands []Demand) int {
 	var candidates []candidate
 	vacant := vacantMilliCores(workers)
@@ -104,7 +105,7 @@
 // could use on a worker only once it has no services, and that the vacant workers don't
 // have.
 func gainOf(w *Worker, demands []Demand, vacant int64) float64 {
-	if w.Fixed || len(w.Services) == 0 || !movable(w) {
+	if len(w.Services) == 0 || !movable(w) {
 		return 0
 	}
 	waiting := -vacant
@@ -120,15 +121,9 @@
 	return float64(min(idle, waiting))
 }
 
-// movable reports whether all services of a worker may be down at once.
+// movable reports whether one of the services of a worker may stop.
 func movable(w *Worker) bool {
-	down := make(map[any]int)
-	for _, s := range w.Services {
-		if down[s.Step]++; down[s.Step] > s.MaxAway {
-			return false
-		}
-	}
-	return true
+	return slices.ContainsFunc(w.Services, func(s Service) bool { return s.MayStop > 0 })
 }
 
 func excludes(w *Worker, d *Demand) bool {
@@ -174,7 +169,7 @@
 // takes reports whether a service may move to a worker that already gets some tasks of
 // the same step.
 func takes(w *Worker, s *Service, added int, demands []Demand) bool {
-	if w.Fixed || len(w.Services) == 0 || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
+	if w.Vacated || len(w.Services) == 0 || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
 		return false
 	}
 	if s.PerWorker > 0 {
