guavaqueue: split the choice of services to move

The newcomer's reading of the diff: vacate collected the demand, chose a window and chose a worker in one function, a method that advances the window was named like a getter, and three tests built the same pool. No behaviour changes; the tests pass as before.

--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -13,7 +13,7 @@
 
 type (
 	// placementClass groups steps that can run on the same workers if their
-	// sizes are left out of account.
+	// sizes are left out of account. Starved steps can run on more.
 	placementClass struct {
 		binding                  *guavabinding.Binding
 		label, kind              string
--- a/guavaqueue/vacate.go
+++ b/guavaqueue/vacate.go
@@ -31,41 +31,47 @@
 		return
 	}
 	e.vacatedAt = now
-	demands := make(map[*pool]map[string]int64)
-	for _, st := range e.readySteps {
-		q := e.queue(st.sub)
-		if q == nil || !st.spec.Filler || st.waiting == 0 || now.Sub(st.waitingSince) < vacateAfter {
-			continue
-		}
-		p := e.pool(q.Service)
-		if demands[p] == nil {
-			demands[p] = make(map[string]int64)
-		}
-		demands[p][st.spec.Kind] += int64(st.waiting) * st.spec.Size.MilliCores
-	}
-	for p, milliCores := range demands {
-		window := p.window()
+	for p, waiting := range e.waitingFillers(now) {
+		window := p.nextWindow()
 		if len(window) == 0 || movingServices(window) >= maxMoving {
 			continue
 		}
-		var list []guavavacancy.Demand
-		for kind, waiting := range milliCores {
-			share := waiting * int64(len(window)) / int64(len(p.candidates))
-			list = append(list, guavavacancy.Demand{MilliCores: share, Excluded: e.excludedServices(now, kind)})
+		demands := make([]guavavacancy.Demand, 0, len(waiting))
+		for kind, milliCores := range waiting {
+			share := milliCores * int64(len(window)) / int64(len(p.candidates))
+			demands = append(demands, guavavacancy.Demand{MilliCores: share, Excluded: e.excludedServices(now, kind)})
 		}
 		workers := make([]guavavacancy.Worker, len(window))
 		for i, w := range window {
 			workers[i] = w.vacancy(now)
 		}
-		if i := guavavacancy.Choose(workers, list); i >= 0 {
+		if i := guavavacancy.Choose(workers, demands); i >= 0 {
 			e.vacateWorker(now, window[i])
 		}
 	}
 }
 
-// window returns the candidates among which services move now. The next call returns
+// waitingFillers returns the declared size of the fillers that have waited for vacateAfter,
+// in thousandths of a core, by pool and kind.
+func (e *Engine) waitingFillers(now time.Time) map[*pool]map[string]int64 {
+	waiting := make(map[*pool]map[string]int64)
+	for _, st := range e.readySteps {
+		q := e.queue(st.sub)
+		if q == nil || !st.spec.Filler || st.waiting == 0 || now.Sub(st.waitingSince) < vacateAfter {
+			continue
+		}
+		p := e.pool(q.Service)
+		if waiting[p] == nil {
+			waiting[p] = make(map[string]int64)
+		}
+		waiting[p][st.spec.Kind] += int64(st.waiting) * st.spec.Size.MilliCores
+	}
+	return waiting
+}
+
+// nextWindow returns the candidates among which services move now. The next call returns
 // others, if there are more.
-func (p *pool) window() []*worker {
+func (p *pool) nextWindow() []*worker {
 	if len(p.candidates) <= vacancyWindow {
 		return p.candidates
 	}
--- a/guavaqueue/vacate_test.go
+++ b/guavaqueue/vacate_test.go
@@ -11,11 +11,9 @@
 	"guavascale.example"
 )
 
-// Guards against accepted fillers that never start on a half-empty pool: services that
-// came while other tasks filled the workers are scattered over all of them, and the
-// fillers disturb these services.
-func TestScatteredServicesDoNotStarveFillers(t *testing.T) {
-	const workers = 20
+// newServicePool returns a fleet of workers of 32 cores on which services of the kind
+// "service" are disturbed by fillers of the kind "heavy".
+func newServicePool(t *testing.T, workers int) *fleet {
 	f := newFleet(t, workers)
 	for _, w := range f.workers {
 		w.info.Capacity = guavascale.Resources{MilliCores: 32_000, MemoryMB: 128_000}
@@ -23,6 +21,15 @@
 	}
 	f.listWorkers()
 	f.exclude("service", "heavy")
+	return f
+}
+
+// Guards against accepted fillers that never start on a half-empty pool: services that
+// came while other tasks filled the workers are scattered over all of them, and the
+// fillers disturb these services.
+func TestScatteredServicesDoNotStarveFillers(t *testing.T) {
+	const workers = 20
+	f := newServicePool(t, workers)
 	tasks := batchOf("tasks", 1, workers, 4*time.Second)
 	tasks.Steps[0].Size.MilliCores = 25_000
 	f.submit(tasks)
@@ -63,13 +70,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			const workers, steps, tasks = 20, 10, 4
-			f := newFleet(t, workers)
-			for _, w := range f.workers {
-				w.info.Capacity = guavascale.Resources{MilliCores: 32_000, MemoryMB: 128_000}
-				w.tailLatency = 5 * time.Millisecond
-			}
-			f.listWorkers()
-			f.exclude("service", "heavy")
+			f := newServicePool(t, workers)
 			other := batchOf("other", 1, workers, 4*time.Second)
 			other.Steps[0].Size.MilliCores = 22_000
 			f.submit(other)
@@ -104,13 +105,7 @@
 func TestSilentWorkerUsesUpTheLimitOfItsSteps(t *testing.T) {
 	const tasks = 20
 	for delay := time.Duration(0); delay <= 3*time.Second; delay += 250 * time.Millisecond {
-		f := newFleet(t, tasks)
-		for _, w := range f.workers {
-			w.info.Capacity = guavascale.Resources{MilliCores: 32_000, MemoryMB: 128_000}
-			w.tailLatency = 5 * time.Millisecond
-		}
-		f.listWorkers()
-		f.exclude("service", "heavy")
+		f := newServicePool(t, tasks)
 		s := serviceOf("service", tasks)
 		s.Steps[0].Size.MilliCores, s.Steps[0].Kind, s.Steps[0].Target = 6400, "service", 18*time.Millisecond
 		s.Steps[0].MaxAway, s.Steps[0].MaxPerWorker = 1, 1
