guavademo: the daemons of a cluster get different addresses

The addresses of each daemon were drawn by themselves, while nothing listened yet on those of the others. Class: a check for a free name that ends before the name is taken.

The addresses of all daemons are drawn at once. Between two clusters on one machine the gap remains, as before.

--- a/cmd/guavademo/cluster.go
+++ b/cmd/guavademo/cluster.go
@@ -118,12 +118,15 @@
 	if err := writeJSON(file, credentials); err != nil {
 		return err
 	}
+	const listeners = 3
+	// All at once: nothing listens yet on the addresses of an earlier call.
+	free, err := freeAddresses(listeners * c.spec.Daemons)
+	if err != nil {
+		return err
+	}
 	peers := make([]string, c.spec.Daemons)
 	for i := range c.spec.Daemons {
-		addresses, err := freeAddresses(3)
-		if err != nil {
-			return err
-		}
+		addresses := free[listeners*i:]
 		peers[i] = addresses[2]
 		c.settings = append(c.settings, guavaconfig.Settings{
 			Name: fmt.Sprintf("daemon-%d", i), Zone: c.spec.Zones[i%len(c.spec.Zones)],
