--- a/guavarow/guavarow_test.go
+++ b/guavarow/guavarow_test.go
@@ -226,7 +226,7 @@
 func TestRowsOfWorkersAndKindsFit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		length := rapid.IntRange(8, guavalimit.MaxNameBytes).Draw(t, "length")
-		n := rapid.SampledFrom([]int{0, 1, 290, 340, 1100, 1100, 4096}).Draw(t, "n")
+		n := rapid.SampledFrom([]int{0, 1, 290, 340, 1100, 4096, 20_000}).Draw(t, "n")
 		letter := rapid.SampledFrom([]string{"w", "<"}).Draw(t, "letter")
 		var ids []guavascale.WorkerID
 		missing := Missing{Token: 7, WaitMs: make(map[guavascale.WorkerID]int64)}
