guavarow: the open starts of a wide step fit into its row

What the next owner could not know: the starts of tasks under which workers may have crashed were kept in a row as far as 8 KiB go, 57 of 1,000, without a word about the rest.

Cause: each suspect names its worker, address and boot anew. Change: if the suspects don't fit as before, those that are nothing but an open start are listed by start (`Open`), 16 KiB at most; what is left out all the same is counted in Cut.Starts. The form of the earlier version is kept while it fits, and one that reads the other form only lacks the suspects, as before.

Ruled out: a larger bound for the form as it is, which holds a third of the tasks for the bytes.

Tests: TestOpenStartsFit (100 tasks on as many workers, 1,000 on 48); on the code before 1,000 tasks leave 57 in the row. The property over accepted submissions draws doubts, workers and 500 suspects; its check that a prefix is kept is now that exactly those are missing that the cut counts.

--- a/guavarow/guavarow_test.go
+++ b/guavarow/guavarow_test.go
@@ -98,14 +98,45 @@
 		}
 	}
 	address := rapid.SampledFrom([]string{"", "10.0.0.1:80", strings.Repeat("<", guavalimit.MaxNameBytes)}).Draw(t, "address")
-	for n := range rapid.SampledFrom([]int{0, 1, 500}).Draw(t, "suspects") {
+	doubts := rapid.SampledFrom([]int{0, 1, 2}).Draw(t, "doubts")
+	workers := rapid.SampledFrom([]int{1, 48, 500}).Draw(t, "workers")
+	for n := range rapid.SampledFrom([]int{0, 1, 100, 500}).Draw(t, "suspects") {
 		p.Suspects = append(p.Suspects, Suspect{Index: n % s.Steps[0].Count, Record: guavacrash.Record{
-			Doubts: n, Open: &guavacrash.Start{Worker: "w", Address: address, Born: 1 << 50, Evidence: guavacrash.Suspect},
+			Doubts: n * doubts % 3, Open: &guavacrash.Start{
+				Worker: guavascale.WorkerID(fmt.Sprint("w", n%workers)), Address: address, Born: 1 << 50, Evidence: guavacrash.Suspect,
+			},
 		}})
 	}
+	p.Suspects = sortedSuspects(p.Suspects)
 	return p
 }
 
+func sortedSuspects(suspects []Suspect) []Suspect {
+	suspects = slices.Clone(suspects)
+	slices.SortFunc(suspects, func(a, b Suspect) int { return strings.Compare(mustMarshal(a), mustMarshal(b)) })
+	return suspects
+}
+
+func mustMarshal(v any) string {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+// requireSuspects fails unless all suspects were read but those that a cut leaves out.
+func requireSuspects(t require.TestingT, want, got []Suspect, cut Cut) {
+	require.Len(t, got, len(want)-cut.Starts, "all have an open start")
+	got = sortedSuspects(got)
+	for _, s := range want {
+		if len(got) > 0 && mustMarshal(s) == mustMarshal(got[0]) {
+			got = got[1:]
+		}
+	}
+	require.Empty(t, got, "suspects that were not written")
+}
+
 // Guards against a row that the store refuses, and against progress that differs for the
 // next owner, of this or the earlier version: tasks that run again, or are started more
 // often than allowed.
@@ -124,7 +155,7 @@
 		require.LessOrEqual(t, len(data), MaxBytes)
 		got, err := decodeProgress(guavascale.Row{Key: "k", Value: data}, Counts(&s), max(s.Repeat, 1))
 		require.NoError(t, err)
-		require.Equal(t, p.Suspects[:len(got.Suspects)], got.Suspects)
+		requireSuspects(t, p.Suspects, got.Suspects, cut)
 		require.True(t, len(got.Suspects) == len(p.Suspects) || len(got.Suspects) >= 5, "only those are left out that don't fit")
 		left := 0
 		require.Equal(t, stripped(&p, cut, nil), stripped(&got, cut, &left))
@@ -146,9 +177,10 @@
 		require.Equal(t, stripped(p, cut, nil), stripped(&Progress{Steps: earlier.Steps}, cut, nil))
 		return
 	}
-	suspects, err := p.limitSuspects()
+	limited := *p
+	_, err := limited.limitSuspects(&scale{counts: []int{1}, offsets: make([]int, guavalimit.MaxSteps)})
 	require.NoError(t, err)
-	full, err := json.Marshal(Progress{State: p.State, Steps: withoutSaved(p.Steps), Suspects: suspects})
+	full, err := json.Marshal(Progress{State: p.State, Steps: withoutSaved(p.Steps), Suspects: limited.Suspects, Open: limited.Open})
 	require.NoError(t, err)
 	assert.Greater(t, len(full), MaxBytes, "the form of the earlier version is used while it fits")
 }
@@ -221,6 +253,26 @@
 	assert.Less(t, len(data), 200)
 }
 
+// Guards against open starts that a wide step doesn't store: 100 tasks of a submission, each
+// on a worker of its own, and 1,000 on 48 workers.
+func TestOpenStartsFit(t *testing.T) {
+	for tasks, workers := range map[int]int{100: 100, 1000: 48} {
+		p := Progress{State: guavascale.SubmissionRunning}
+		for n := range tasks {
+			p.Suspects = append(p.Suspects, Suspect{Occurrence: n % 2, Step: 1, Index: n / 2, Record: guavacrash.Record{Open: &guavacrash.Start{
+				Worker: guavascale.WorkerID(fmt.Sprintf("i-%010d", n%workers)), Address: fmt.Sprintf("10.200.%d.1:8169", n%workers),
+				Born: 1_772_515_426_000 + int64(n%workers), Evidence: guavacrash.Suspect,
+			}}})
+		}
+		data, cut, err := EncodeProgress("a", &p, []int{3, tasks})
+		require.NoError(t, err)
+		require.Zero(t, cut)
+		got, err := decodeProgress(guavascale.Row{Key: "k", Value: data}, []int{3, tasks}, 2)
+		require.NoError(t, err)
+		requireSuspects(t, sortedSuspects(p.Suspects), got.Suspects, cut)
+	}
+}
+
 // Guards against other rows that the store refuses, and against a fleet that the next
 // owner knows only a part of.
 func TestRowsOfWorkersAndKindsFit(t *testing.T) {
@@ -289,6 +341,7 @@
 	f.Add([]byte(`{"State":"running","Steps":[{"Occurrence":3,"Done":[0,9],"Failed":{"1":[1]},"Saved":{"0":"x"}}]}`))
 	f.Add([]byte(`{"State":"running","Steps":{"Counts":[2,3],"Before":4,"Done":"AQ==","Failed":"AAICAg==","Saved":{"5":"x"}}}`))
 	f.Add([]byte(`{"State":"running","Steps":{"Counts":[2,3],"Before":-1,"Failures":"//8=","Crashes":"//8="}}`))
+	f.Add([]byte(`{"State":"running","Open":[{"Start":{"Worker":"w","Evidence":2},"Tasks":[-1,0,19,99999]}]}`))
 	f.Add([]byte(`{"Workers":{"Parts":99999999999}}`))
 	f.Add([]byte(`{"Workers":["a"],"Pairs":[{"Suspicion":1e300}],"WaitMs":{"a":-9223372036854775808}}`))
 	f.Add([]byte(`{"Submission":{"StartAt":"9999-12-31T23:59:59Z","Repeat":20000,"Interval":9223372036854775807}}`))
--- a/guavarow/progress.go
+++ b/guavarow/progress.go
@@ -20,6 +20,8 @@
 		Steps   []Step `json:",omitempty"`
 		// Suspects holds what else than Crashes counts against tasks, as far as it fits.
 		Suspects []Suspect `json:",omitempty"`
+		// Open holds suspects in a shorter form. It is only used in the row.
+		Open []OpenStarts `json:",omitempty"`
 		// DoneSteps is the number of the first steps, counted over all occurrences, of
 		// which all tasks are done and that Steps leaves out. It is 0 in what is decoded.
 		DoneSteps int `json:"-"`
@@ -65,6 +67,8 @@
 		// Numbers is set if failed attempts are only counted. An end that a worker
 		// repeats to the next owner then counts twice.
 		Numbers bool
+		// Starts is the number of open starts that are left out.
+		Starts int
 	}
 
 	// storedProgress is the form of both versions. Steps is a list, or an object that
@@ -74,6 +78,7 @@
 		EndedMs  int64           `json:",omitempty"`
 		Steps    json.RawMessage `json:",omitempty"`
 		Suspects []Suspect       `json:",omitempty"`
+		Open     []OpenStarts    `json:",omitempty"`
 	}
 
 	// denseSteps holds the progress of all tasks, numbered by occurrence, step and
@@ -97,9 +102,6 @@
 	}
 )
 
-// maxSuspectBytes bounds what the suspects add to a row.
-const maxSuspectBytes = 8 << 10
-
 var errOutside = errors.New("a task is outside of the submission")
 
 // Add adds the progress of the next task. Occurrences, steps and indexes must ascend.
@@ -130,21 +132,6 @@
 	}
 }
 
-// limitSuspects leaves out the suspects that would make a row too large.
-func (p *Progress) limitSuspects() ([]Suspect, error) {
-	left := maxSuspectBytes
-	for i := range p.Suspects {
-		data, err := json.Marshal(&p.Suspects[i])
-		if err != nil {
-			return nil, err
-		}
-		if left -= len(data) + 1; left < 0 {
-			return p.Suspects[:i], nil
-		}
-	}
-	return p.Suspects, nil
-}
-
 // Tasks calls f for the tasks of a step that have made progress.
 func (st *Step) Tasks(f func(index int, t Task)) {
 	tasks := make(map[int]Task)
@@ -173,16 +160,17 @@
 // the number of tasks of each step of an occurrence.
 func EncodeProgress(id string, p *Progress, counts []int) ([]byte, Cut, error) {
 	key := ProgressKey(id)
-	short := *p
-	var err error
-	if short.Suspects, err = p.limitSuspects(); err != nil {
+	short, s := *p, newScale(counts)
+	leftOut, err := short.limitSuspects(&s)
+	if err != nil {
 		return nil, Cut{}, fmt.Errorf("encode row %q: %w", key, err)
 	}
 	p = &short
 	if data, cut, err := encodeList(key, p, counts); data != nil || err != nil {
+		cut.Starts = leftOut
 		return data, cut, err
 	}
-	s, cut := newScale(counts), Cut{}
+	cut := Cut{Starts: leftOut}
 	dense, saved := s.pack(p)
 	counted := dense.Failures
 	dense.Failures = nil
@@ -219,7 +207,7 @@
 	if least > MaxBytes {
 		return nil, Cut{}, nil
 	}
-	bare := Progress{State: p.State, EndedMs: p.EndedMs, Suspects: p.Suspects, Steps: make([]Step, 0, p.DoneSteps+len(p.Steps))}
+	bare := Progress{State: p.State, EndedMs: p.EndedMs, Suspects: p.Suspects, Open: p.Open, Steps: make([]Step, 0, p.DoneSteps+len(p.Steps))}
 	for i := range p.DoneSteps {
 		st := Step{Occurrence: i / len(counts), Step: i % len(counts)}
 		for n := range counts[st.Step] {
@@ -265,7 +253,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(storedProgress{State: p.State, EndedMs: p.EndedMs, Steps: steps, Suspects: p.Suspects})
+	return json.Marshal(storedProgress{State: p.State, EndedMs: p.EndedMs, Steps: steps, Suspects: p.Suspects, Open: p.Open})
 }
 
 // decodeProgress decodes a row of progress. It fails if the row doesn't belong to a
@@ -286,7 +274,10 @@
 	if err := json.Unmarshal(row.Value, &stored); err != nil {
 		return Progress{}, err
 	}
-	p := Progress{State: stored.State, EndedMs: stored.EndedMs, Suspects: stored.Suspects}
+	p := Progress{State: stored.State, EndedMs: stored.EndedMs, Suspects: stored.Suspects, Open: stored.Open}
+	if err := p.expandOpen(&s); err != nil {
+		return p, err
+	}
 	switch {
 	case len(stored.Steps) == 0:
 		return p, nil
