guavaqueue: starts that the next owner must know of are stored first

So the order of a trial and its record left in the same step, and the order alone arrived.

Change: the start of a task on trial, or of a task that an earlier owner may have started, takes up its place on the worker, is stored with the submission (`Open`), and is ordered once that commit is known. The members of a gang go out together. While a trial waits for its commit, no hold is sent that would keep its worker's next sign of life away. At most 100 starts of a step are stored and not judged yet, so that the row holds them; if it does not, they are given up and begin anew one by one. A task costs at most one start that no other owner knows of: the first one of the owner that has accepted it.

TestStartsOfWideStepsAreRecorded: 1,500 tasks of one step after a takeover.

--- a/guavaqueue/crashes.go
+++ b/guavaqueue/crashes.go
@@ -21,7 +21,7 @@
 func (r *run) openCase() guavacrash.Case[*task] {
 	w := r.worker
 	against := guavacrash.Run{
-		Start: r.startedAt, Unanswered: r.unanswered || r.startPending, Broke: r.startBroke, Heard: r.heard, Judged: r.judged,
+		Start: r.startedAt, Unanswered: r.unanswered || r.startPending || r.recording, Broke: r.startBroke, Heard: r.heard, Judged: r.judged,
 	}.Against(w.aliveAt)
 	return guavacrash.Case[*task]{Task: r.task, Record: &r.task.record, Start: guavacrash.Start{
 		Worker: w.ID, Address: w.AgentAddress, Born: w.Born, Evidence: against,
@@ -34,7 +34,7 @@
 func (e *Engine) recordCrash(now time.Time, w *worker, certain bool) {
 	cases := make([]guavacrash.Case[*task], 0, len(w.runs))
 	for _, r := range w.runs {
-		if c := r.openCase(); r.task.wanted() {
+		if c := r.openCase(); r.task.wanted() && !r.recording {
 			cases = append(cases, c)
 			if !certain && c.Start.Evidence == guavacrash.Suspect {
 				e.openStarts.Add(c, true)
@@ -98,20 +98,6 @@
 	})
 }
 
-// storeSuspicion stores that the run may crash or have crashed its worker, so that a
-// later owner knows of it, and drops that once it is known not to.
-func (e *Engine) storeSuspicion(now time.Time, r *run) {
-	c, open := r.openCase(), r.task.record.Open
-	switch {
-	case c.Start.Evidence != guavacrash.None && r.task.wanted():
-		r.task.record.Open = &c.Start
-		e.markDirty(now, r.task.step.sub, true)
-	case open != nil && open.Worker == r.worker.ID:
-		r.task.record.Open = nil
-		e.markDirty(now, r.task.step.sub, false)
-	}
-}
-
 // restoreRecord restores the stored record of a task.
 func (e *Engine) restoreRecord(t *task, r guavacrash.Record) {
 	t.record = r
--- a/guavaqueue/fleet_test.go
+++ b/guavaqueue/fleet_test.go
@@ -75,6 +75,8 @@
 		silent bool
 		// crashedUnder counts the workers that have crashed with runs of a submission.
 		crashedUnder map[string]int
+		// recordedStarts counts the starts that had to be stored first.
+		recordedStarts int
 		// holds counts the hold orders, partialReports the reports that did not list
 		// all ends.
 		holds, partialReports int
@@ -427,6 +429,7 @@
 	out := Outcome{Clock: w.reading(f.now)}
 	switch o.Kind {
 	case OrderStart:
+		f.checkRecorded(o)
 		out.Err = f.start(w, o.Start)
 	case OrderPace:
 		if w.paces == nil {
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -72,6 +72,8 @@
 		// in this scheduling pass.
 		fullSizes map[placementClass]guavascale.Resources
 		orders    []Order
+		// recording holds the runs whose starts have to be stored before they are ordered.
+		recording []*run
 		// deposed is set when a worker has seen a higher token.
 		deposed bool
 		// soleOwner is set while no other daemon can own the shard.
@@ -297,6 +299,10 @@
 		judged bool
 		// heard is set if the worker was heard from right before the first start order.
 		heard bool
+		// recording is set until the start is ordered if it has to be stored before.
+		// recordedBy is the value of Engine.changes from which on it is stored.
+		recording  bool
+		recordedBy uint64
 		// unanswered is set when a start order got no response, startBroke if the
 		// latest one broke off before its timeout.
 		unanswered   bool
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -143,6 +143,7 @@
 		e.orders = nil
 		return nil
 	}
+	e.orderRecorded(now, may.Start)
 	if may.Start {
 		e.reserveWorkers()
 		e.place(now)
@@ -213,6 +214,9 @@
 		// The worker would repeat the ends at once, since their commit is still
 		// pending.
 		return
+	case now.Before(w.suspectUntil) && w.heard(now) && w.awaitsTrial():
+		// The trial waits until no answer is due.
+		return
 	}
 	if !w.known {
 		if e.firstHolds >= maxFirstHolds {
@@ -229,7 +233,11 @@
 	case w.fillerMilliCores > 0 && !w.missedSince.IsZero():
 		wait = min(wait, holdWaitDisturbed)
 	}
-	if now.Before(w.suspectUntil) {
+	switch {
+	case !now.Before(w.suspectUntil):
+	case w.awaitsTrial():
+		wait = 0
+	default:
 		wait = min(wait, holdWaitTrial)
 	}
 	// The lease of a worker that did not answer is not extended until it answers
@@ -253,16 +261,24 @@
 	}
 	r := &run{
 		id: guavascale.Run{Task: t.ref(), Attempt: attempt}, task: t, worker: w,
-		sentAt: now, startedAt: now, startPending: true, pace: fullPace, heard: now.Sub(w.aliveAt) <= guavacrash.HeardTime,
+		startedAt: now, pace: fullPace, heard: w.heard(now),
 	}
 	if t.step.spec.Service && w.serviceMilliCores == 0 {
 		w.pool.spare--
 	}
 	e.addRun(r)
-	if t.record.OnTrial() {
-		w.suspectUntil = now.Add(suspectPenaltyTime)
-		e.storeSuspicion(now, r)
+	w.suspect(now, t)
+	if t.mustRecord() {
+		e.recordStart(now, r)
+		return
 	}
+	e.orderStart(now, r)
+}
+
+// orderStart orders the start of a run for the first time.
+func (e *Engine) orderStart(now time.Time, r *run) {
+	t, w := r.task, r.worker
+	r.startedAt, r.heard = now, w.heard(now)
 	e.emit(Event{
 		Kind: EventStart, Submission: t.step.sub.ID, Run: r.id, Worker: w.ID,
 		Reason: t.step.urgency.String(), Age: now.Sub(t.step.sub.accepted),
@@ -270,6 +286,9 @@
 	e.sendStart(now, r)
 }
 
+// heard reports whether the worker was heard from just now.
+func (w *worker) heard(now time.Time) bool { return now.Sub(w.aliveAt) <= guavacrash.HeardTime }
+
 func (e *Engine) sendStart(now time.Time, r *run) {
 	end := e.extendLease(now, r.worker)
 	if !r.worker.askedAt.After(r.worker.aliveAt) {
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -97,6 +97,7 @@
 		return
 	}
 	var ranked *ranking
+	recordable := st.recordableStarts()
 	for _, t := range st.tasks {
 		if st.waiting == 0 {
 			return
@@ -104,6 +105,9 @@
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.inherited && !e.inheritedRunsKnown() {
 			continue
 		}
+		if t.mustRecord() && recordable <= 0 {
+			continue
+		}
 		if e.attemptsUsedUp(t) {
 			e.end(now, st.sub, guavascale.SubmissionFailed)
 			return
@@ -123,6 +127,9 @@
 		}
 		switch {
 		case w != nil:
+			if t.mustRecord() {
+				recordable--
+			}
 			e.start(now, t, w, t.attempt+1)
 		case !t.record.OnTrial():
 			return
--- /dev/null
+++ b/guavaqueue/recorded.go
@@ -0,0 +1,123 @@
+package guavaqueue
+
+import (
+	"time"
+
+	"guavascale.example/guavacrash"
+	"guavascale.example/guavarefusal"
+)
+
+// Assumed failure: an owner whose commits have no effect any more gives orders for some
+// seconds. If the next owner must know of a start, the start is stored before it is ordered,
+// so that such an owner orders none. Until then the run takes up its place on the worker.
+
+// maxOpenStarts bounds the starts of a step that are stored and not judged yet.
+const maxOpenStarts = 100
+
+// mustRecord reports whether a start of the task is stored before it is ordered: workers
+// have perhaps crashed under it, or an earlier owner may have started it, of which no other
+// knows.
+func (t *task) mustRecord() bool { return t.record.OnTrial() || t.inherited }
+
+// recordableStarts returns how many more starts of the step may be stored now, so that the
+// row of the submission holds all that have not been judged yet.
+func (st *step) recordableStarts() int {
+	if st.sub.cut.Starts > 0 {
+		return 1
+	}
+	n := maxOpenStarts
+	for _, t := range st.tasks {
+		if t.record.Open != nil {
+			n--
+		}
+	}
+	return n
+}
+
+// recordStart stores that a run is about to be ordered.
+func (e *Engine) recordStart(now time.Time, r *run) {
+	c := r.openCase()
+	r.recording, r.task.record.Open = true, &c.Start
+	e.markDirty(now, r.task.step.sub, true)
+	r.recordedBy = r.task.step.sub.changed
+	e.recording = append(e.recording, r)
+}
+
+// orderRecorded orders the starts that are stored by now and gives up those that can't be
+// ordered any more. The members of a gang are ordered together.
+func (e *Engine) orderRecorded(now time.Time, mayStart bool) {
+	rest := e.recording
+	kept := rest[:0]
+	for len(rest) > 0 {
+		n := 1
+		for rest[0].task.step.spec.Gang && n < len(rest) && rest[n].task.step == rest[0].task.step {
+			n++
+		}
+		group := rest[:n]
+		rest = rest[n:]
+		ready, valid := mayStart, true
+		for _, r := range group {
+			ready = ready && e.mayOrder(now, r)
+			valid = valid && r.awaitsRecord() && e.usable(now, r.worker) && r.task.step.sub.cut.Starts == 0 && e.refusals.Group(r.task.step.sub) != guavarefusal.Aside
+		}
+		if valid && !ready {
+			kept = append(kept, group...)
+			continue
+		}
+		for _, r := range group {
+			switch {
+			case !r.awaitsRecord():
+			case valid:
+				r.recording = false
+				r.worker.suspect(now, r.task)
+				e.orderStart(now, r)
+			default:
+				e.markLost(now, r, "not ordered: the worker can't be used any more")
+			}
+		}
+	}
+	clear(e.recording[len(kept):])
+	e.recording = kept
+}
+
+// awaitsRecord reports whether the run has not been ordered and may still be.
+func (r *run) awaitsRecord() bool {
+	return r.recording && r.phase == phaseStarting && r.worker.runs[r.id] == r
+}
+
+// awaitsTrial reports whether a task on trial will be ordered to start on the worker.
+func (w *worker) awaitsTrial() bool {
+	for _, r := range w.runs {
+		if r.awaitsRecord() && r.task.record.OnTrial() {
+			return true
+		}
+	}
+	return false
+}
+
+// mayOrder reports whether the start of a run is stored and may be ordered now.
+func (e *Engine) mayOrder(now time.Time, r *run) bool {
+	return r.task.step.sub.written >= r.recordedBy && r.worker.pendingStarts < maxPendingStarts && r.task.trial(now, r.worker, true)
+}
+
+// suspect keeps other tasks off the worker for some time if the task is on trial.
+func (w *worker) suspect(now time.Time, t *task) {
+	if t.record.OnTrial() {
+		w.suspectUntil = now.Add(suspectPenaltyTime)
+	}
+}
+
+// storeSuspicion stores that the run may crash or have crashed its worker, so that a
+// later owner knows of it, and drops that once it is known not to.
+func (e *Engine) storeSuspicion(now time.Time, r *run) {
+	c, open := r.openCase(), r.task.record.Open
+	switch {
+	case r.recording:
+	case c.Start.Evidence != guavacrash.None && r.task.wanted():
+		r.task.record.Open = &c.Start
+		e.markDirty(now, r.task.step.sub, true)
+	case open != nil && open.Worker == r.worker.ID:
+		r.task.record.Open = nil
+		e.markDirty(now, r.task.step.sub, false)
+	}
+}
--- /dev/null
+++ b/guavaqueue/recorded_test.go
@@ -0,0 +1,123 @@
+package guavaqueue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"guavascale.example"
+	"guavascale.example/guavarow"
+)
+
+// Guards against starts of a task that crashes its workers by one owner after the other of
+// which none can store them any more (BUDGET): none knew of the starts of the others.
+func TestTrialsOfCutOffOwnersAreBounded(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		for _, cutAfter := range []time.Duration{0, 300 * time.Millisecond, time.Second, 3 * time.Second} {
+			t.Run(fmt.Sprintf("silent %t, cut after %s", silent, cutAfter), func(t *testing.T) {
+				f := newFleet(t, 6)
+				f.crashTime, f.newIDs, f.silent = 3*time.Second, true, silent
+				f.deadly = map[string]bool{"deadly": true}
+				f.submit(serviceOf("s", 6))
+				f.advance(2 * time.Second)
+				f.submit(batchOf("deadly", 1, 1, time.Second))
+				for known := 0; known == 0; {
+					f.advance(fleetTick)
+					known = f.engine.subs["deadly"].steps[0].tasks[0].record.Crashes
+				}
+				f.advance(100 * time.Millisecond)
+				for range 6 {
+					f.storeDown = true
+					f.advance(6 * time.Second)
+					f.storeDown = false
+					f.replaceOwner()
+					f.advance(cutAfter)
+				}
+				f.advance(90 * time.Second)
+				assert.LessOrEqual(t, f.deadlyStarts, 5)
+				assert.Equal(t, map[guavascale.SubmissionState]int{
+					guavascale.SubmissionFailed: 1, guavascale.SubmissionRunning: 1,
+				}, f.countStates())
+				require.Equal(t, 6, f.countRunning("s"))
+			})
+		}
+	}
+}
+
+// Guards against a task that each of several owners starts once (BUDGET): each is cut off
+// from the store as the worker crashes, and the next one takes the task for a new one.
+func TestFirstStartsOfSuccessiveOwnersAreBounded(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		for _, newIDs := range []bool{false, true} {
+			t.Run(fmt.Sprintf("silent %t, new IDs %t", silent, newIDs), func(t *testing.T) {
+				f := newFleet(t, 6)
+				f.crashTime, f.newIDs, f.silent = 3*time.Second, newIDs, silent
+				f.deadly = map[string]bool{"deadly": true}
+				f.submit(serviceOf("s", 6))
+				f.advance(2 * time.Second)
+				f.submit(batchOf("deadly", 1, 1, time.Second))
+				f.submit(batchOf("a", 2, 6, time.Second))
+				for range 8 {
+					starts := f.deadlyStarts
+					for range 500 {
+						if f.advance(fleetTick); f.deadlyStarts > starts {
+							break
+						}
+					}
+					f.storeDown = true
+					f.advance(6 * time.Second)
+					f.storeDown = false
+					f.replaceOwner()
+				}
+				f.advance(90 * time.Second)
+				assert.LessOrEqual(t, f.deadlyStarts, 5)
+				assert.Equal(t, map[guavascale.SubmissionState]int{
+					guavascale.SubmissionFailed: 1, guavascale.SubmissionCompleted: 1, guavascale.SubmissionRunning: 1,
+				}, f.countStates())
+				require.Equal(t, 6, f.countRunning("s"))
+			})
+		}
+	}
+}
+
+// Guards against starts that the next owner can't know of, since not all of them fit into
+// the row of the submission, and against tasks that wait for good for that.
+func TestStartsOfWideStepsAreRecorded(t *testing.T) {
+	f := newFleet(t, 20)
+	s := batchOf("a", 1, 1500, 300*time.Millisecond)
+	s.Steps[0].Size.MilliCores, s.Steps[0].Size.MemoryMB = 40, 1
+	f.submit(s)
+	f.advance(100 * time.Millisecond)
+	f.replaceOwner()
+	f.advance(20 * time.Second)
+	assert.Equal(t, map[guavascale.SubmissionState]int{guavascale.SubmissionCompleted: 1}, f.countStates())
+	assert.Positive(t, f.recordedStarts)
+}
+
+// checkRecorded fails the test if an order starts a task of which an earlier owner may have
+// told nobody, or under which workers have crashed, and the store doesn't hold the start.
+func (f *fleet) checkRecorded(o Order) {
+	t := f.engine.task(o.Run.Task)
+	if t == nil || !t.mustRecord() || t.step.spec.Copies {
+		return
+	}
+	f.recordedStarts++
+	var rows []guavascale.Row
+	for k, v := range f.rows {
+		rows = append(rows, guavascale.Row{Key: k, Value: v})
+	}
+	shard, err := guavarow.Read(rows)
+	require.NoError(f.t, err)
+	p, err := shard.Progress(o.Run.Task.Submission)
+	require.NoError(f.t, err)
+	for _, s := range p.Suspects {
+		ref := guavascale.TaskRef{Submission: o.Run.Task.Submission, Occurrence: s.Occurrence, Step: s.Step, Index: s.Index}
+		if ref == o.Run.Task && s.Record.Open != nil && s.Record.Open.Worker == o.Worker.ID {
+			return
+		}
+	}
+	f.t.Fatalf("%s: the store does not hold the start of %v on %s", f.elapsed(), o.Run, o.Worker.ID)
+}
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -180,7 +180,7 @@
 	w.seen, w.moreEnds = last, e.Limits.EndsPerReport > 0 && len(rep.Ended) >= e.Limits.EndsPerReport
 	w.ackDurableEnds()
 	for _, r := range w.runs {
-		if !w.moreEnds && !listed[r.id] && r.startIsDead(sent, rep.Clock) {
+		if !w.moreEnds && !r.recording && !listed[r.id] && r.startIsDead(sent, rep.Clock) {
 			e.markLost(now, r, "missing from the worker's report")
 		}
 	}
