guavaqueue: a confirmed start of a worker that has fallen silent is stored

One of six starts, attempt 10001, was only doubted by the next owner, which charges no doubt.

What counts against the task was stored with the hold, as a doubt, since the start had no answer then, and not again with the answer.

Change: the answer stores it again if the worker has fallen silent.

Failed before: TestConfirmedStartOfSilentWorkerIsStored (the next owner reads Doubt).

--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -448,6 +448,9 @@
 		if r.phase == phaseStarting {
 			r.confirmStart(now)
 		}
+		if r.worker.failedHolds > 0 {
+			e.storeSuspicion(now, r)
+		}
 		return
 	}
 	if out.certainlyNotSent() && !r.unanswered && r.phase == phaseStarting {
--- a/guavaqueue/recorded_test.go
+++ b/guavaqueue/recorded_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
+	"guavascale.example/guavacrash"
 	"guavascale.example/guavarow"
 )
 
@@ -121,3 +122,34 @@
 	}
 	f.t.Fatalf("%s: the store does not hold the start of %v on %s", f.elapsed(), o.Run, o.Worker.ID)
 }
+
+// Guards against a start that the next owner only doubts although the worker had confirmed
+// it: the worker fell silent before the answer was looked at.
+func TestConfirmedStartOfSilentWorkerIsStored(t *testing.T) {
+	f := newFleet(t, 1)
+	f.advance(time.Second)
+	f.submit(batchOf("a", 1, 1, time.Minute))
+	f.commit()
+	f.replaceOwner()
+	f.listIsStale = true
+	f.advance(time.Second)
+	w := f.engine.workers["w0"]
+	hold := Order{Kind: OrderHold, Worker: w.Worker, Sent: w.holdAt}
+	f.workers["w0"].pendingHold = nil
+	var start *Order
+	for range 3 {
+		f.now = f.now.Add(fleetTick)
+		for _, o := range f.engine.Orders(f.now, Permissions{Act: true, Start: true, Sole: true, LeasesUntil: f.now.Add(testLeaseBound)}) {
+			if o.Kind == OrderStart {
+				start = &o
+			}
+		}
+		f.commit()
+	}
+	require.NotNil(t, start)
+	f.engine.Answer(f.now, hold, Outcome{Err: errNoAnswer})
+	f.engine.Answer(f.now, *start, Outcome{Clock: guavascale.WorkerClock(f.workers["w0"].clock(f.now))})
+	f.commit()
+	f.replaceOwner()
+	require.Equal(t, guavacrash.Suspect, f.engine.subs["a"].steps[0].tasks[0].record.Open.Evidence)
+}
