guavaqueue: a trial waits for a good worker after a takeover, too

The crash under attempt 20001 was charged to nobody: three more tasks had started on its worker in the same moment, one of them on trial with a crash on record, which was charged and set the others free.

Cause: a task on trial waits 2.5 s for the worker that fits best, then takes any. So all trials went out at once, to the workers that had just been heard.

Change: the time counts from when the runs of earlier owners are known.

Failed before: TestTrialsAfterATakeoverAreSeparated (six trials on one of eight workers).

--- a/guavaqueue/crashes.go
+++ b/guavaqueue/crashes.go
@@ -108,9 +108,16 @@
 
 // trial reports whether the task may be started on the worker now, which is the one that
 // fits best if best is set.
-func (t *task) trial(now time.Time, w *worker, best bool) bool {
-	return t.step.spec.Gang || t.record.MayStart(guavacrash.Trial{
-		Waited: now.Sub(t.notBefore), Silence: now.Sub(w.aliveAt), Asked: w.holdPending, Best: best, Taken: now.Before(w.suspectUntil),
+func (e *Engine) trial(now time.Time, t *task, w *worker, best bool) bool {
+	if t.step.spec.Gang {
+		return true
+	}
+	since := t.notBefore
+	if t.inherited && e.inheritedUnknownAt.After(since) {
+		since = e.inheritedUnknownAt
+	}
+	return t.record.MayStart(guavacrash.Trial{
+		Waited: now.Sub(since), Silence: now.Sub(w.aliveAt), Asked: w.holdPending, Best: best, Taken: now.Before(w.suspectUntil),
 	})
 }
 
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -105,6 +105,8 @@
 		// missing holds the workers of an earlier owner's fleet that have not
 		// answered yet.
 		missing missingWorkers
+		// inheritedUnknownAt is the last time at which runs of earlier owners were unknown.
+		inheritedUnknownAt time.Time
 		// openStarts holds the starts whose workers may have crashed before they answered
 		// this owner, or lapsed.
 		openStarts guavacrash.Ledger[*task]
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -122,6 +122,9 @@
 	if may.Sole && e.missing.expire(now) {
 		e.fleetDirty = true
 	}
+	if !e.inheritedRunsKnown() {
+		e.inheritedUnknownAt = now
+	}
 	e.applyVerdicts(now, e.openStarts.Settle(e.fate))
 	act := may.Act && !e.deposed
 	e.firstHolds = 0
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -230,11 +230,11 @@
 		if best == nil || rating > bestRating || rating == bestRating && w.ID < best.ID {
 			best, bestRating = w, rating
 		}
-		if t.trial(now, w, false) && (ready == nil || rating > readyRating) {
+		if e.trial(now, t, w, false) && (ready == nil || rating > readyRating) {
 			ready, readyRating = w, rating
 		}
 	}
-	if best != nil && !t.trial(now, best, true) {
+	if best != nil && !e.trial(now, t, best, true) {
 		if best = ready; best == nil {
 			return nil
 		}
--- a/guavaqueue/recorded.go
+++ b/guavaqueue/recorded.go
@@ -97,7 +97,7 @@
 
 // mayOrder reports whether the start of a run is stored and may be ordered now.
 func (e *Engine) mayOrder(now time.Time, r *run) bool {
-	return r.task.step.sub.written >= r.recordedBy && r.worker.pendingStarts < maxPendingStarts && r.task.trial(now, r.worker, true)
+	return r.task.step.sub.written >= r.recordedBy && r.worker.pendingStarts < maxPendingStarts && e.trial(now, r.task, r.worker, true)
 }
 
 // suspect keeps other tasks off the worker for some time if the task is on trial.
--- a/guavaqueue/recorded_test.go
+++ b/guavaqueue/recorded_test.go
@@ -123,6 +123,37 @@
 	f.t.Fatalf("%s: the store does not hold the start of %v on %s", f.elapsed(), o.Run, o.Worker.ID)
 }
 
+// Guards against tasks on trial that share a worker although others are free: the crash is
+// charged to one of them. They had waited for the runs of an earlier owner for so long that
+// any worker seemed good enough.
+func TestTrialsAfterATakeoverAreSeparated(t *testing.T) {
+	f := newFleet(t, 8)
+	f.crashTime = time.Second
+	for i := range 6 {
+		f.submit(batchOf(fmt.Sprint("a", i), 1, 1, time.Minute))
+	}
+	f.advance(100 * time.Millisecond)
+	for _, w := range f.workers {
+		if len(w.runs) > 0 {
+			f.crash(w)
+		}
+	}
+	f.advance(600 * time.Millisecond)
+	lost := f.workers["w7"]
+	lost.unreachable = true
+	f.replaceOwner()
+	for range 1000 {
+		if f.advance(fleetTick); f.countRunning("a") > 0 {
+			break
+		}
+	}
+	f.advance(200 * time.Millisecond)
+	require.Positive(t, f.countRunning("a"))
+	for id, w := range f.workers {
+		assert.LessOrEqual(t, len(w.runs), 1, "%s", id)
+	}
+}
+
 // Guards against a start that the next owner only doubts although the worker had confirmed
 // it: the worker fell silent before the answer was looked at.
 func TestConfirmedStartOfSilentWorkerIsStored(t *testing.T) {
