guavascheduler: starts on trial are logged among many others

In the traces of BUDGET, rows of `Start` were missing for the very attempts that took workers down (`LeftOut`): all starts share 100 lines a second, and after a takeover hundreds start at once. Starts on trial have a limit of their own now and tell how many workers may have crashed under the task. `WorkerCrashed` named the task's latest attempt; it names the one that is charged, or none if an earlier owner has ordered it.

--- a/guavacrash/guavacrash.go
+++ b/guavacrash/guavacrash.go
@@ -74,12 +74,15 @@
 		Task   T
 		Record *Record
 		Start  Start
+		// Attempt is the number of the start, 0 if an earlier owner has ordered it.
+		Attempt int64
 	}
 
 	// Verdict is the outcome of a crash for a task that is charged or in doubt.
 	Verdict[T any] struct {
-		Task   T
-		Worker guavascale.WorkerID
+		Task    T
+		Worker  guavascale.WorkerID
+		Attempt int64
 		// Charged is set if the task is charged, Cleared if it is not even in doubt any
 		// more, and GivenUp if too many workers have crashed under it.
 		Charged, Cleared, GivenUp bool
@@ -199,7 +202,7 @@
 	for _, c := range cases {
 		r, against := c.Record, c.Start.Evidence
 		r.Open = nil
-		v := Verdict[T]{Task: c.Task, Worker: c.Start.Worker}
+		v := Verdict[T]{Task: c.Task, Worker: c.Start.Worker, Attempt: c.Attempt}
 		switch {
 		case against == None || again > 0 && (r.Crashes == 0 || against == Doubt):
 			continue
--- a/guavacrash/guavacrash_test.go
+++ b/guavacrash/guavacrash_test.go
@@ -55,7 +55,7 @@
 		t.Run(name, func(t *testing.T) {
 			cases := make([]Case[int], len(tc.records))
 			for i := range cases {
-				cases[i] = Case[int]{i, &tc.records[i], Start{Evidence: tc.against[i]}}
+				cases[i] = Case[int]{Task: i, Record: &tc.records[i], Start: Start{Evidence: tc.against[i]}}
 			}
 			for _, v := range Judge(cases, !tc.uncertain) {
 				assert.Equal(t, tc.givenUp && v.Task == 0, v.GivenUp)
@@ -78,7 +78,7 @@
 	for last, want := range map[Fate]Record{Ended: {Crashes: 1}, Alive: {}} {
 		var l Ledger[string]
 		record := &Record{Open: &Start{Worker: "w", Evidence: Suspect}}
-		l.Add(Case[string]{"task", record, *record.Open}, false)
+		l.Add(Case[string]{Task: "task", Record: record, Start: *record.Open}, false)
 		for _, f := range []Fate{Unknown, Lapsed, Lapsed} {
 			l.Settle(func(Case[string]) Fate { return f })
 		}
--- a/guavaqueue/crashes.go
+++ b/guavaqueue/crashes.go
@@ -23,7 +23,7 @@
 	against := guavacrash.Run{
 		Start: r.startedAt, Unanswered: r.unanswered || r.startPending || r.recording, Broke: r.startBroke, Heard: r.heard, Judged: r.judged,
 	}.Against(w.aliveAt)
-	return guavacrash.Case[*task]{Task: r.task, Record: &r.task.record, Start: guavacrash.Start{
+	return guavacrash.Case[*task]{Task: r.task, Record: &r.task.record, Attempt: r.id.Attempt, Start: guavacrash.Start{
 		Worker: w.ID, Address: w.AgentAddress, Born: w.Born, Evidence: against,
 	}}
 }
@@ -58,7 +58,7 @@
 			reason, n = "workers ended, with the task perhaps started", t.record.Doubts
 		}
 		e.emit(Event{
-			Kind: EventCrash, Submission: s.ID, Run: guavascale.Run{Task: t.ref(), Attempt: t.attempt}, Worker: v.Worker,
+			Kind: EventCrash, Submission: s.ID, Run: guavascale.Run{Task: t.ref(), Attempt: v.Attempt}, Worker: v.Worker,
 			Reason: reason, Value: float64(n), Age: now.Sub(s.accepted),
 		})
 		if v.GivenUp && !s.state.Ended() {
--- a/guavaqueue/events.go
+++ b/guavaqueue/events.go
@@ -15,9 +15,13 @@
 	Event struct {
 		Kind       EventKind
 		Submission string
-		// Run is the zero value for events about a submission or a worker.
+		// Run is the zero value for events about a submission or a worker. Its Attempt is 0
+		// if only an earlier owner knows it.
 		Run    guavascale.Run
 		Worker guavascale.WorkerID
+		// Trial is set for the start of a task under which workers may have crashed. Value
+		// is their number.
+		Trial bool
 		// Outcome is the result of the decision, Reason the reason for it.
 		Outcome string
 		Reason  string
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -285,6 +285,7 @@
 	e.emit(Event{
 		Kind: EventStart, Submission: t.step.sub.ID, Run: r.id, Worker: w.ID,
 		Reason: t.step.urgency.String(), Age: now.Sub(t.step.sub.accepted),
+		Trial: t.record.OnTrial(), Value: float64(t.record.Crashes + t.record.Doubts),
 	})
 	e.sendStart(now, r)
 }
--- a/guavascheduler/decisions.go
+++ b/guavascheduler/decisions.go
@@ -10,12 +10,13 @@
 	"guavascale.example/guavaqueue"
 )
 
-// decisionLog limits the rate of log lines per kind of decision. The first line
+// decisionLog limits the rate of log lines per budget, which is that of a kind of decision
+// or of the starts on trial. The first line
 // after the limit was exceeded contains the number of suppressed lines. It is
 // safe for concurrent use.
 type decisionLog struct {
-	mu    sync.Mutex
-	kinds map[string]*lineBudget
+	mu      sync.Mutex
+	budgets map[string]*lineBudget
 }
 
 type lineBudget struct {
@@ -24,22 +25,22 @@
 	suppressed int
 }
 
-// linesPerSecond limits the lines of one kind. An installation starts 200 runs
+// linesPerSecond limits the lines of one budget. An installation starts 200 runs
 // per second, and writing a line takes about 10 µs including the system call.
 const linesPerSecond = 100
 
-// allow reports whether a line of a kind may be written, and how many lines were
+// allow reports whether a line of a budget may be written, and how many lines were
 // suppressed since the previous one.
-func (d *decisionLog) allow(now time.Time, kind string) (suppressed int, ok bool) {
+func (d *decisionLog) allow(now time.Time, budget string) (suppressed int, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.kinds == nil {
-		d.kinds = make(map[string]*lineBudget)
+	if d.budgets == nil {
+		d.budgets = make(map[string]*lineBudget)
 	}
-	b := d.kinds[kind]
+	b := d.budgets[budget]
 	if b == nil {
 		b = &lineBudget{}
-		d.kinds[kind] = b
+		d.budgets[budget] = b
 	}
 	if s := now.Unix(); s != b.second {
 		b.second, b.lines = s, 0
@@ -53,9 +54,9 @@
 	return suppressed, true
 }
 
-// line returns a log line of a kind, or nil if the limit is exceeded.
-func (d *decisionLog) line(log *zerolog.Logger, now time.Time, kind string) *zerolog.Event {
-	suppressed, ok := d.allow(now, kind)
+// line returns a log line of a kind, or nil if the limit of its budget is exceeded.
+func (d *decisionLog) line(log *zerolog.Logger, now time.Time, budget, kind string) *zerolog.Event {
+	suppressed, ok := d.allow(now, budget)
 	if !ok {
 		return nil
 	}
@@ -80,15 +81,26 @@
 }
 
 func (t *term) logEvent(now time.Time, ev *guavaqueue.Event) {
-	line := t.scheduler.decisions.line(&t.scheduler.Log, now, string(ev.Kind))
+	budget := string(ev.Kind)
+	if ev.Trial {
+		// The starts of a busy second must not suppress those that explain a crash.
+		budget = "Trial"
+	}
+	line := t.scheduler.decisions.line(&t.scheduler.Log, now, budget, string(ev.Kind))
 	if line == nil {
 		return
 	}
+	if ev.Trial {
+		line.Bool("Trial", true)
+	}
 	if ev.Submission != "" {
 		line.Str("Submission", ev.Submission)
 	}
-	if r := ev.Run; r.Attempt > 0 {
-		line.Str("Task", fmt.Sprintf("%d.%d.%d", r.Task.Occurrence, r.Task.Step, r.Task.Index)).Int64("Attempt", r.Attempt)
+	if r := ev.Run; r.Task.Submission != "" {
+		line.Str("Task", fmt.Sprintf("%d.%d.%d", r.Task.Occurrence, r.Task.Step, r.Task.Index))
+		if r.Attempt > 0 {
+			line.Int64("Attempt", r.Attempt)
+		}
 	}
 	if ev.Worker != "" {
 		line.Str("Worker", string(ev.Worker))
@@ -113,7 +125,8 @@
 		// Callers poll, so only failures are logged.
 		return
 	}
-	line := s.decisions.line(&s.Log, now, "Request"+string(m))
+	kind := "Request" + string(m)
+	line := s.decisions.line(&s.Log, now, kind, kind)
 	if line == nil {
 		return
 	}
