internal/listen: a shutdown before serving has begun closes the listener

A daemon of `guavascaled serve` that gets SIGTERM right after its start would accept connections for as long as the process lives.

Cause: fasthttp's Shutdown closes the listeners that Serve has handed over. Serve runs in a goroutine of its own; if Shutdown comes first it finds none, returns without an error, and Serve then accepts for good. Class: a stop that is a no-op for what has not begun yet. The operators' server guards against it with a flag and still had the gap between the flag and fasthttp's Serve.

Change: the listener belongs to a group from the first line of Serve on; a closed group closes what comes later. Used by the gateway, the operators' server, the callers' server of `queue`, and the stand-in of the platform. The endpoints of that stand-in close their listener themselves. guavapeer and the metrics and readiness servers of `queue` are closed by their callers' listener or end with the process.

--- a/cmd/guavascaled/queue.go
+++ b/cmd/guavascaled/queue.go
@@ -23,6 +23,7 @@
 	"guavascale.example/guavaconfig"
 	"guavascale.example/guavaqueue"
 	"guavascale.example/guavascheduler"
+	"guavascale.example/internal/listen"
 	guavaplatform "guavascale.example/platform"
 )
 
@@ -41,6 +42,7 @@
 		scheduler    *guavascheduler.Scheduler
 		handler      *guavaplatform.SubmissionHandler
 		server       *fasthttp.Server
+		listeners    listen.Group
 	}
 )
 
@@ -173,7 +175,7 @@
 		}()
 	}
 	go func() { d.logServeError(d.scheduler.ServePeers(peerListener)) }()
-	go func() { d.logServeError(d.server.Serve(callerListener)) }()
+	go func() { d.logServeError(d.listeners.Serve(callerListener, d.server.Serve)) }()
 	if addr := d.settings.Ready.Listen; addr != "" {
 		readyListener, err := net.Listen("tcp4", addr)
 		if err != nil {
@@ -220,6 +222,7 @@
 	if remaining := drain - time.Since(start); remaining > 0 {
 		time.Sleep(remaining)
 	}
+	d.listeners.Close()
 	err := d.server.ShutdownWithContext(ctx)
 	d.log.Info().Dur("AfterMs", time.Since(start)).Err(err).Msg("daemon: stopped")
 	if err != nil {
--- a/guavafake/endpoint.go
+++ b/guavafake/endpoint.go
@@ -174,6 +174,10 @@
 	// would take seconds with a hundred workers.
 	errs := make(chan error, len(workers))
 	for _, ep := range workers {
+		if ep.listener != nil {
+			// The server doesn't know the listener before it has begun to serve.
+			_ = ep.listener.Close()
+		}
 		go func() { errs <- ep.server.ShutdownWithContext(ctx) }()
 	}
 	var all error
--- a/guavafake/platform.go
+++ b/guavafake/platform.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"guavascale.example"
+	"guavascale.example/internal/listen"
 )
 
 type (
@@ -20,9 +21,10 @@
 		Fleet     Fleet
 		Endpoints Endpoints
 
-		hosts   hostHistory
-		server  *fasthttp.Server
-		address string
+		hosts     hostHistory
+		server    *fasthttp.Server
+		listeners listen.Group
+		address   string
 	}
 
 	// FleetSpec describes identical workers in racks of RackSize.
@@ -56,7 +58,7 @@
 	p.server = newServer(p.Handler())
 	p.address = ln.Addr().String()
 	// Serve returns once Close shuts the server down.
-	go func() { _ = p.server.Serve(ln) }()
+	go func() { _ = p.listeners.Serve(ln, p.server.Serve) }()
 	return p.address, nil
 }
 
@@ -101,6 +103,7 @@
 // Close stops all listeners, and waits for calls in progress until ctx ends.
 func (p *Platform) Close(ctx context.Context) error {
 	err := p.Endpoints.Close(ctx)
+	p.listeners.Close()
 	if p.server != nil {
 		err = errors.Join(err, p.server.ShutdownWithContext(ctx))
 	}
--- a/guavagateway/guavagateway.go
+++ b/guavagateway/guavagateway.go
@@ -31,6 +31,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavaroute"
+	"guavascale.example/internal/listen"
 )
 
 type (
@@ -109,6 +110,7 @@
 
 		initOnce  sync.Once
 		server    *fasthttp.Server
+		listeners listen.Group
 		pool      connPool
 		recorders pond.Pool
 		metrics   gatewayMetrics
@@ -211,7 +213,9 @@
 func (g *Gateway) Serve(ln net.Listener) error {
 	g.init()
 	go g.runTicker()
-	return g.server.Serve(&limitListener{Listener: ln, limit: int64(g.Limits.Connections)})
+	return g.listeners.Serve(ln, func(ln net.Listener) error {
+		return g.server.Serve(&limitListener{Listener: ln, limit: int64(g.Limits.Connections)})
+	})
 }
 
 // runTicker periodically processes queued requests, because slots become usable and
--- a/guavagateway/server.go
+++ b/guavagateway/server.go
@@ -124,6 +124,7 @@
 // To let the load balancer react, call Drain some time before Shutdown.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.Drain()
+	g.listeners.Close()
 	err := g.server.ShutdownWithContext(ctx)
 	g.shutdownOnce.Do(func() {
 		close(g.stop)
--- a/guavaoperator/server.go
+++ b/guavaoperator/server.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"guavascale.example/guavaconfig"
+	"guavascale.example/internal/listen"
 )
 
 const (
@@ -46,9 +47,9 @@
 		// CallTimeout bounds one call; it defaults to DefaultCallTimeout.
 		CallTimeout time.Duration
 
-		mu      sync.Mutex
-		servers []*fasthttp.Server
-		closed  bool
+		listeners listen.Group
+		mu        sync.Mutex
+		servers   []*fasthttp.Server
 	}
 
 	// call is a request that is being handled.
@@ -88,20 +89,18 @@
 		Logger:                discardLogger{},
 	}
 	s.mu.Lock()
-	if s.closed {
-		s.mu.Unlock()
-		return ln.Close()
-	}
 	s.servers = append(s.servers, server)
 	s.mu.Unlock()
-	return server.Serve(&limitListener{Listener: ln, max: int64(limits.Connections)})
+	return s.listeners.Serve(ln, func(ln net.Listener) error {
+		return server.Serve(&limitListener{Listener: ln, max: int64(limits.Connections)})
+	})
 }
 
 // Shutdown stops accepting connections and waits until the calls in progress
 // have ended or ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.listeners.Close()
 	s.mu.Lock()
-	s.closed = true
 	servers := s.servers
 	s.mu.Unlock()
 	var errs []error
