guavascan: a page with fewer rows than asked for is not the last one

What callers would see: `guavascaled serve` on a table that bounds a page by bytes or by a number of its own, as the users' platform does (500 rows or 1 MB): a new owner recovers the beginning of its log only. What is done or cancelled after it runs again (TWICE), what was accepted is unknown.

Cause: the recovery of a log took a page that is not full for the end, and so did the scan of sessions and owners and the list of jobs; the interface said "up to limit rows", and only guavascheduler read that as it is meant.

Change: the interface says that only an empty page is the end; one reader of all pages (guavascan) is used by the log and the leases. A scan of the leases costs two more reads; the bound on fast scans counts them. With a session left out, a takeover was tried again and again and failed at the store's condition, so that ownership was safe.

Failed before: TestRecoverFromShortPages (3 of 10 records), TestScanReadsShortPages (2 of 5).

--- a/guavadaemon/jobs.go
+++ b/guavadaemon/jobs.go
@@ -201,7 +201,7 @@
 			}
 			page.Jobs = append(page.Jobs, s)
 		}
-		if len(rows) < jobPageSize {
+		if len(rows) == 0 {
 			return page, nil
 		}
 	}
--- a/guavalease/driver.go
+++ b/guavalease/driver.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"guavascale.example"
+	"guavascale.example/guavascan"
 )
 
 type (
@@ -195,22 +196,9 @@
 
 func (d *Driver) scan(ctx context.Context, prefix string) ([]guavascale.Row, error) {
 	var rows []guavascale.Row
-	after := ""
-	for {
-		page, err := d.readPage(ctx, prefix, after)
-		if err != nil {
-			return nil, err
-		}
+	err := guavascan.Pages(ctx, d.opt.Table, prefix, "", scanPageSize, d.opt.CallTimeout, func(page []guavascale.Row) error {
 		rows = append(rows, page...)
-		if len(page) < scanPageSize {
-			return rows, nil
-		}
-		after = page[len(page)-1].Key
-	}
-}
-
-func (d *Driver) readPage(ctx context.Context, prefix, after string) ([]guavascale.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.opt.CallTimeout)
-	defer cancel()
-	return d.opt.Table.Scan(ctx, prefix, after, scanPageSize)
+		return nil
+	})
+	return rows, err
 }
--- a/guavalease/driver_test.go
+++ b/guavalease/driver_test.go
@@ -176,3 +176,18 @@
 		_, _ = DecodeSession(value)
 	})
 }
+
+// Guards against owners and sessions that a scan leaves out, since the table returns fewer
+// rows per page than it is asked for: their partitions count as free, and the commits that
+// take them over fail again and again.
+func TestScanReadsShortPages(t *testing.T) {
+	table := storetest.New()
+	for _, daemon := range []string{"a", "b", "c", "d", "e"} {
+		key := SessionPrefix + daemon
+		table.Rows[key] = guavascale.Row{Key: key, Version: 1}
+	}
+	table.PageRows = 2
+	rows, err := NewDriver(Options{Config: Config{Daemon: "a"}, Table: table}).scan(t.Context(), SessionPrefix)
+	require.NoError(t, err)
+	require.Len(t, rows, 5)
+}
--- a/guavalease/guavalease.go
+++ b/guavalease/guavalease.go
@@ -175,8 +175,9 @@
 	// partition is expected to become available soon. maxFastReadsPerSecond
 	// bounds the total reads per second of all daemons that scan this fast to
 	// 3% of what the store sustains.
-	minFastScanInterval   = 500 * time.Millisecond
-	readsPerScan          = 2
+	minFastScanInterval = 500 * time.Millisecond
+	// readsPerScan counts a page and the end of each of two prefixes.
+	readsPerScan          = 4
 	maxFastReadsPerSecond = 60
 )
 
--- a/guavalog/log_test.go
+++ b/guavalog/log_test.go
@@ -274,6 +274,20 @@
 	return s.Table.Scan(ctx, prefix, after, limit)
 }
 
+// Guards against a log that loses its end in a recovery, since the table returns fewer rows
+// per page than it is asked for.
+func TestRecoverFromShortPages(t *testing.T) {
+	table, objects := storetest.New(), storetest.NewObjects()
+	o := takeOwnership(table, 1)
+	old, _ := open(t, table, objects, o)
+	for i := range 10 {
+		require.NoError(t, (<-appendOne(old, i)).Err)
+	}
+	table.PageRows = 3
+	_, rec := open(t, table, objects, o)
+	assert.Len(t, countRecords(rec), 10)
+}
+
 // Guards against a recovery that misses rows because an earlier Log of the same
 // ownership replaces them with a snapshot during the recovery.
 func TestRecoverDuringSnapshot(t *testing.T) {
--- a/guavalog/recover.go
+++ b/guavalog/recover.go
@@ -5,6 +5,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavalease"
+	"guavascale.example/guavascan"
 )
 
 // Recover reads the snapshot and the rows after it and opens the log for appends.
@@ -92,26 +93,22 @@
 // a gap means that a row was lost.
 func (l *Log) readBatches(ctx context.Context, after uint64) ([]Batch, error) {
 	var batches []Batch
-	for {
-		rows, err := l.scanRows(ctx, logKey(l.opt.Partition, after), recoverPageRows)
-		if err != nil {
-			return nil, err
-		}
+	from := logKey(l.opt.Partition, after)
+	err := guavascan.Pages(ctx, l.opt.Table, logPrefix(l.opt.Partition), from, recoverPageRows, l.opt.CallTimeout, func(rows []guavascale.Row) error {
 		for _, row := range rows {
 			b, err := decodeBatch(l.opt.Partition, row)
 			if err != nil {
-				return nil, err
+				return err
 			}
 			if b.Sequence != after+1 {
-				return nil, &CorruptError{Key: row.Key, Reason: "a row before it is missing"}
+				return &CorruptError{Key: row.Key, Reason: "a row before it is missing"}
 			}
 			after++
 			batches = append(batches, b)
 		}
-		if len(rows) < recoverPageRows {
-			return batches, nil
-		}
-	}
+		return nil
+	})
+	return batches, err
 }
 
 func (l *Log) scanRows(ctx context.Context, after string, limit int) ([]guavascale.Row, error) {
--- a/guavascale.go
+++ b/guavascale.go
@@ -36,7 +36,8 @@
 		// or UnavailableError.
 		Get(ctx context.Context, key string) (Row, error)
 		// Scan returns up to limit rows in key order whose keys start with
-		// prefix and sort after the key after. It fails with
+		// prefix and sort after the key after. It may return fewer although
+		// there are more; only an empty result is the end. It fails with
 		// UnavailableError.
 		Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 		// Commit atomically applies all writes if all conditions hold, and
--- a/internal/storetest/table.go
+++ b/internal/storetest/table.go
@@ -39,6 +39,8 @@
 	delayed []guavascale.Commit
 	// Latency is added to each commit.
 	Latency time.Duration
+	// PageRows bounds the rows of a page beside the caller's limit; 0 means no bound.
+	PageRows int
 }
 
 // New returns an empty table.
@@ -78,6 +80,9 @@
 		}
 	}
 	slices.SortFunc(rows, func(a, b guavascale.Row) int { return strings.Compare(a.Key, b.Key) })
+	if t.PageRows > 0 {
+		limit = min(limit, t.PageRows)
+	}
 	return rows[:min(limit, len(rows))], nil
 }
 
