guavaqueue: the time over the target counts from the last report under it

The bound is 4 s.

Cause, by the timing of reports: the time counted from the first report that told of it. Such a report comes up to 1 s late, up to 1.6 s for a service that has just started, whose first figures don't count; then 1.6 s pass and another half second to the next report, which leaves 0.3 s for the order and the backlog. Besides, workers report whole milliseconds: a latency that is rounded down to the target counted as met and began the time anew, so that a service a little over its target never had its fillers throttled. Class: a bound that is counted from the observation of its beginning.

Change: the time counts from the last report with the service under its target, or from its start, 1.6 s back at most; at the target means over it. All fillers are throttled after 0.45 of the bound (0.4 before).

Failed before: TestFillersAreThrottledWhateverTheReports, 50 of 72 cases.

--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -321,8 +321,10 @@
 		progressAt  time.Time
 		pace        int
 		tailLatency time.Duration
-		// lastTailLatency is tailLatency at the previous observation.
+		// lastTailLatency is tailLatency at the previous observation, and underTargetAt the
+		// time of the last one at which the service met its target.
 		lastTailLatency time.Duration
+		underTargetAt   time.Time
 		usedMilliCores  int64
 	}
 
--- a/guavaqueue/interfere.go
+++ b/guavaqueue/interfere.go
@@ -48,10 +48,10 @@
 	// missTolerance is how long a service may miss its target beside fillers
 	// that are not suspect before the largest one is preempted. After
 	// throttleAfterFraction of Limits.DisturbMax all fillers are throttled; the
-	// rest of DisturbMax is needed because measurements lag by half a second
-	// and reports arrive every half second.
+	// rest of DisturbMax is needed because measurements lag by half a second,
+	// reports arrive every half second, and a backlog takes time to drain.
 	missTolerance         = 1500 * time.Millisecond
-	throttleAfterFraction = 0.4
+	throttleAfterFraction = 0.45
 	// throttledPace is the pace of a throttled filler, in percent.
 	throttledPace = 5
 	// paceGrowthFactor multiplies the pace of a throttled filler whenever the
@@ -101,13 +101,11 @@
 		}
 		highest = max(highest, ratio)
 		w.worstLatencyRatio = highest
-		if ratio <= 1 {
+		if !worst.overTarget() {
 			continue
 		}
 		missed = true
-		if w.missedSince.IsZero() {
-			w.missedSince = now
-		}
+		w.missedSince = worst.missedSince(now, w.missedSince)
 		switch {
 		case e.Limits.DisturbMax > 0 && now.Sub(w.missedSince) >= e.throttleAfter():
 			e.throttleFillers(now, w)
@@ -144,13 +142,38 @@
 	return float64(r.tailLatency) / float64(r.task.step.spec.Target)
 }
 
+// overTarget reports whether a service may miss its target. Workers report whole
+// milliseconds.
+func (r *run) overTarget() bool { return r.tailLatency >= r.task.step.spec.Target }
+
+// missedSince returns the earliest time since which a service that is over its target may
+// miss it, as far as the latest reports tell. Known is that time for its worker, if any.
+func (r *run) missedSince(now, known time.Time) time.Time {
+	since := r.underTargetAt
+	for _, t := range [...]time.Time{r.startedAt, now.Add(-holdWait - settlingTime)} {
+		if t.After(since) {
+			since = t
+		}
+	}
+	if !known.IsZero() && known.Before(since) {
+		return known
+	}
+	return since
+}
+
 // worstService returns the service run of a kind with the highest latency ratio,
 // and whether its latency is not falling. While a backlog may still drain after
 // a suspect filler ended, notFalling is only set for a rising latency.
 func (w *worker) worstService(now time.Time, kind string) (worst *run, notFalling bool) {
 	for _, r := range w.runs {
 		spec := r.task.step.spec
-		if !spec.Service || spec.Kind != kind || spec.Target <= 0 || r.tailLatency <= 0 || now.Sub(r.startedAt) < settlingTime {
+		if !spec.Service || spec.Kind != kind || spec.Target <= 0 || r.tailLatency <= 0 {
+			continue
+		}
+		if !r.overTarget() {
+			r.underTargetAt = now
+		}
+		if now.Sub(r.startedAt) < settlingTime {
 			continue
 		}
 		if worst == nil || r.latencyRatio() > worst.latencyRatio() {
--- a/guavaqueue/interfere_test.go
+++ b/guavaqueue/interfere_test.go
@@ -42,3 +42,56 @@
 		}
 	}
 }
+
+// Guards against a service that stays over its target for too long (HARM), since the time
+// counted from the first report that told of it: up to a second late, later still for a
+// service that has just started, and anew after each report at the target, to which whole
+// milliseconds round what is above it.
+func TestFillersAreThrottledWhateverTheReports(t *testing.T) {
+	const target = 18 * time.Millisecond
+	tails := map[string][]time.Duration{
+		"far over the target":      {60 * time.Millisecond},
+		"rounded to the target":    {target},
+		"now and then over it":     {target, target, target, target + time.Millisecond},
+		"over it but for a moment": {60 * time.Millisecond, 60 * time.Millisecond, target},
+	}
+	for name, tail := range tails {
+		for delay := 0 * time.Millisecond; delay <= 1200*time.Millisecond; delay += 150 * time.Millisecond {
+			for _, fresh := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s after a start, fresh service %t", name, delay, fresh), func(t *testing.T) {
+					f := newFleet(t, 1)
+					w := f.workers["w0"]
+					w.info.Capacity = guavascale.Resources{MilliCores: 24_000, MemoryMB: 64_000}
+					w.tailLatency = 5 * time.Millisecond
+					f.listWorkers()
+					s := serviceOf("service", 1)
+					s.Steps[0].Size.MilliCores, s.Steps[0].Kind, s.Steps[0].Target = 3000, "a", target
+					if !fresh {
+						f.submit(s)
+					}
+					f.advance(time.Second)
+					for i := range 4 {
+						f.submit(fillersOf(fmt.Sprintf("filler%d", i), fmt.Sprint("kind", i), 3, time.Minute))
+					}
+					f.advance(3*time.Second + delay)
+					if fresh {
+						f.submit(s)
+						for f.countRunning("service") == 0 {
+							f.advance(fleetTick)
+						}
+					}
+					require.Equal(t, 12, f.countRunning("filler"))
+					for end, i := f.now.Add(testDisturbMax/2+holdWaitDisturbed+100*time.Millisecond), 0; f.now.Before(end); i++ {
+						w.tailLatency = tail[i%len(tail)]
+						f.advance(100 * time.Millisecond)
+					}
+					for id, r := range w.runs {
+						if f.spec(id.Task).Filler && r.stopAt.IsZero() {
+							assert.True(t, w.paces[id] > 0 && w.paces[id] <= throttledPace, "run %v continues at pace %d", id, w.paces[id])
+						}
+					}
+				})
+			}
+		}
+	}
+}
