guavashard: a changed service replaces its instances

Cause: an instance is created with a copy of the definition, and nothing compares the two again.

Change: waiting instances of an older definition are dropped, running ones are replaced one after the other: one instance more than desired runs, and when it does, the oldest outdated one leaves as any surplus instance does. With no room for it, nothing leaves.

Failed before: TestChangedServiceReplacesInstances (instances keep 500 thousandths of a core).

--- a/guavashard/service.go
+++ b/guavashard/service.go
@@ -51,17 +51,29 @@
 
 func (s *Shard) reconcileService(svc *guavascale.Service, entries []*taskEntry, desired int) {
 	var live []*taskEntry
+	var r replacement
 	for _, e := range entries {
+		outdated := desired > 0 && !isInstanceOf(&e.task, svc)
 		switch {
 		case s.leaving(e):
+			r.leaving = r.leaving || outdated
 			s.stopWhenDrained(e)
+		case outdated && !e.task.State.HoldsWorker() && e.proposed == nil:
+			s.dropTask(e.task.ID)
 		case s.countsAsAvailable(e):
 			live = append(live, e)
+			r.add(e, outdated)
 		}
 	}
+	if r.inProgress() {
+		desired++
+	}
 	for n := len(live); n < desired; n++ {
 		s.addInstance(svc)
 	}
+	if r.ready(len(live) >= desired) {
+		s.retire(r.next)
+	}
 	if len(live) <= desired {
 		return
 	}
@@ -76,6 +88,34 @@
 	}
 }
 
+// replacement is the replacement of the instances of a service whose definition has
+// changed. One instance more than desired runs until an outdated one has left.
+type replacement struct {
+	// next is the oldest outdated instance that is available, or nil.
+	next *taskEntry
+	// leaving is set while an outdated instance is being removed, waiting while an
+	// available one does not run yet.
+	leaving, waiting bool
+}
+
+func (r *replacement) add(e *taskEntry, outdated bool) {
+	if outdated && (r.next == nil || e.seq < r.next.seq) {
+		r.next = e
+	}
+	r.waiting = r.waiting || !e.reportedRunning
+}
+
+func (r *replacement) inProgress() bool { return r.next != nil && !r.leaving }
+
+// ready reports whether the next outdated instance may leave. Complete is set if there are
+// as many available instances as there should be, one more than desired among them.
+func (r *replacement) ready(complete bool) bool { return r.inProgress() && complete && !r.waiting }
+
+// isInstanceOf reports whether an instance has the definition of the service.
+func isInstanceOf(t *guavascale.Task, svc *guavascale.Service) bool {
+	return t.Size == svc.Size && t.Kind == svc.Kind && t.Team == svc.Team
+}
+
 func boolToInt(b bool) int {
 	if b {
 		return 1
--- a/guavashard/shard_test.go
+++ b/guavashard/shard_test.go
@@ -258,3 +258,35 @@
 	require.Len(t, h.shard.Summary().Endpoints, 2)
 	h.requireNoViolations()
 }
+
+// Guards against instances that keep the size and kind of the definition they were created
+// with, for good: a change of the service never took effect on them.
+func TestChangedServiceReplacesInstances(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	svc := guavascale.Service{Name: "seats", Kind: "checkout", Size: guavascale.Resources{MilliCores: 500, MemoryMB: 256}}
+	h.view.Config.Services["seats"] = svc
+	h.view.Instances["seats"] = 3
+	h.run(5 * time.Second)
+	require.Len(t, h.shard.Summary().Endpoints, 3)
+	svc.Kind, svc.Size.MilliCores = "checkout-2", 700
+	h.view.Config.Services["seats"] = svc
+	for range 150 {
+		h.run(time.Second)
+		serving := 0
+		for _, ep := range h.shard.Summary().Endpoints {
+			if !ep.Leaving {
+				serving++
+			}
+		}
+		require.GreaterOrEqual(t, serving, 3, "an instance leaves before its replacement serves")
+		require.LessOrEqual(t, len(h.shard.Summary().Endpoints), 5, "they are replaced one after the other")
+	}
+	require.Len(t, h.shard.Summary().Endpoints, 3)
+	for _, e := range h.shard.tasks {
+		if !e.task.State.Ended() {
+			require.Equal(t, svc.Size, e.task.Size)
+			require.Equal(t, svc.Kind, e.task.Kind)
+		}
+	}
+	h.requireNoViolations()
+}
