--- a/cmd/guavasoak/client.go
+++ b/cmd/guavasoak/client.go
@@ -24,6 +24,9 @@
 		statusCounts map[int]int
 	}
 
+	// submissionKind tells what a submission is made of.
+	submissionKind int
+
 	submissionStatus struct {
 		accepted bool
 		// rejected is set as long as every response has been a rejection.
@@ -35,13 +38,24 @@
 )
 
 const (
+	// ordinary submissions have a few tasks. The task of a deadly one crashes its workers.
+	// The tasks of a burst are so many and short that a worker can't report all ends at
+	// once while the store is down.
+	ordinary submissionKind = iota
+	deadly
+	burst
+)
+
+const (
+	burstTasks     = 1500
+	burstWork      = 20 * time.Millisecond
 	requestTimeout = 1500 * time.Millisecond
 	routeHost      = "soak.example"
 	routePrefix    = "/q/"
 )
 
 // submit sends one submission up to 5 times, until it is accepted.
-func (c *submissionClient) submit(r *rand.Rand) {
+func (c *submissionClient) submit(r *rand.Rand, kind submissionKind) {
 	id := fmt.Sprintf("%016x", r.Uint64())
 	t := &submissionStatus{rejected: true}
 	c.mu.Lock()
@@ -53,7 +67,17 @@
 		step.Tasks, step.After = 1, []int{0}
 		steps = append(steps, step)
 	}
-	body, err := guavastandin.Submission(time.Duration(50+r.IntN(600))*time.Millisecond, steps)
+	payload := (time.Duration(50+r.IntN(600)) * time.Millisecond).String()
+	switch kind {
+	case ordinary:
+	case deadly:
+		payload, steps = guavastandin.DeadlyPayload, steps[:1]
+		steps[0].Tasks = 1
+	case burst:
+		payload, steps = burstWork.String(), steps[:1]
+		steps[0].Tasks, steps[0].MilliCores, steps[0].MemoryMB, steps[0].Estimate = burstTasks, 50, 1, burstWork
+	}
+	body, err := guavastandin.Submission(payload, steps)
 	if err != nil {
 		panic(err) // Impossible: the body contains only numbers and strings.
 	}
--- a/cmd/guavasoak/soak.go
+++ b/cmd/guavasoak/soak.go
@@ -31,6 +31,10 @@
 		findings      []string
 		wg            sync.WaitGroup
 		configVersion int
+		// replacements counts the workers that have replaced others.
+		replacements int
+		// ended is set once the run has ended.
+		ended bool
 	}
 
 	// fault is a kind of fault. Its inject function starts the fault and
@@ -47,6 +51,11 @@
 	maxFaultTime   = 4 * time.Second
 	stopTimeout    = 6 * time.Second
 	readyTimeout   = 10 * time.Second
+	// minCrashes is the number of workers that must crash under a task before its
+	// submission may fail.
+	minCrashes = 2
+	// restartTime is how long a worker is down that a task has crashed.
+	restartTime = 2 * time.Second
 )
 
 // faults are injected at random and overlap: each lasts up to maxFaultTime, and
@@ -89,6 +98,33 @@
 		}
 		return func() { s.addError(w.Listen()) }
 	}},
+	{"host silent", func(s *soak, r *rand.Rand) func() {
+		w := s.workers[r.IntN(len(s.workers))]
+		if !w.CrashSilently() {
+			return func() {}
+		}
+		if r.IntN(2) == 0 {
+			return func() { s.addError(w.Listen()) }
+		}
+		return func() { s.addError(w.Replace(s.newWorkerID())) }
+	}},
+	{"worker faults", func(s *soak, r *rand.Rand) func() {
+		w := s.workers[r.IntN(len(s.workers))]
+		choices := []guavastandin.WorkerFaults{{Cut: true}, {LateStarts: 0.4, MaxLate: 2 * time.Second}}
+		w.SetFaults(choices[r.IntN(len(choices))])
+		return func() { w.SetFaults(guavastandin.WorkerFaults{}) }
+	}},
+	{"deadly task", func(s *soak, r *rand.Rand) func() {
+		for _, w := range s.workers {
+			w.SetFaults(guavastandin.WorkerFaults{SilentCrash: r.IntN(2) == 0})
+		}
+		s.submit(rand.New(rand.NewPCG(r.Uint64(), 3)), deadly)
+		return func() {}
+	}},
+	{"burst", func(s *soak, r *rand.Rand) func() {
+		s.submit(rand.New(rand.NewPCG(r.Uint64(), 3)), burst)
+		return func() {}
+	}},
 	{"configuration", func(s *soak, r *rand.Rand) func() {
 		s.addError(s.configure())
 		if r.IntN(2) == 0 {
@@ -99,6 +135,33 @@
 	}},
 }
 
+// submit sends a submission in the background.
+func (s *soak) submit(r *rand.Rand, kind submissionKind) {
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		s.client.submit(r, kind)
+	}()
+}
+
+// restart restarts a worker, unless the run is over.
+func (s *soak) restart(w *guavastandin.Worker) {
+	s.mu.Lock()
+	ended := s.ended
+	s.mu.Unlock()
+	if !ended {
+		s.addError(w.Listen())
+	}
+}
+
+// newWorkerID returns an ID that no worker has had.
+func (s *soak) newWorkerID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replacements++
+	return fmt.Sprintf("w%d", s.Workers+s.replacements)
+}
+
 func (s *soak) randomProcess(r *rand.Rand) *process { return s.processes[r.IntN(len(s.processes))] }
 
 func (s *soak) addError(err error) {
@@ -174,6 +237,7 @@
 			ID: fmt.Sprintf("w%d", i), Zone: fmt.Sprintf("z%d", i%3), Service: "desk", MilliCores: 4000, MemoryMB: 4000,
 			LeaseMax: 3 * time.Second, StopTime: 50 * time.Millisecond, Store: s.store, Checker: s.checker,
 		}
+		w.Crashed = func() { time.AfterFunc(restartTime, func() { s.restart(w) }) }
 		if err := w.Listen(); err != nil {
 			return err
 		}
@@ -219,7 +283,7 @@
 		rng := rand.New(rand.NewPCG(r.Uint64(), 3))
 		go func() {
 			defer s.wg.Done()
-			s.client.submit(rng)
+			s.client.submit(rng, ordinary)
 			if ids := s.client.unfinished(); len(ids) > 0 {
 				s.addFinding(s.client.poll(s.randomProcess(rng), ids[rng.IntN(len(ids))]))
 			}
@@ -245,6 +309,9 @@
 	s.client.mu.Lock()
 	defer s.client.mu.Unlock()
 	for id, t := range s.client.submissions {
+		if t.state == "failed" && s.checker.Crashes(id) < minCrashes {
+			s.addFinding(fmt.Sprintf("submission %s failed without cause", id))
+		}
 		if t.rejected && s.checker.Ran(id) {
 			s.addFinding(fmt.Sprintf("submission %s ran although every response rejected it", id))
 		}
@@ -253,6 +320,9 @@
 
 // tearDown stops everything that the run has started.
 func (s *soak) tearDown() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
 	for _, p := range s.processes {
 		p.signal(syscall.SIGCONT)
 		// The run is over, so the exit status of the daemon is irrelevant.
