--- a/guavaqueue/crashes.go
+++ b/guavaqueue/crashes.go
@@ -72,7 +72,7 @@
 	id := c.Start.Worker
 	w := e.workers[id]
 	answered := w != nil && w.known
-	_, missing := e.missing.until[id]
+	_, missing := e.missing.Until[id]
 	switch {
 	case !c.Task.wanted():
 		return guavacrash.Dropped
--- a/guavaqueue/dump.go
+++ b/guavaqueue/dump.go
@@ -67,7 +67,7 @@
 	if e.catalog != nil {
 		d.CatalogVersion = e.catalog.Version
 	}
-	for id, until := range e.missing.until {
+	for id, until := range e.missing.Until {
 		d.MissingWorkers = append(d.MissingWorkers, id)
 		d.MissingForMs = max(d.MissingForMs, until.Sub(now).Milliseconds())
 	}
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -35,6 +35,7 @@
 	"guavascale.example/guavabinding"
 	"guavascale.example/guavaclock"
 	"guavascale.example/guavacrash"
+	"guavascale.example/guavamissing"
 	"guavascale.example/guavaobjective"
 	"guavascale.example/guavapair"
 	"guavascale.example/guavarefusal"
@@ -104,7 +105,7 @@
 		sharedRetryAt     time.Time
 		// missing holds the workers of an earlier owner's fleet that have not
 		// answered yet.
-		missing missingWorkers
+		missing guavamissing.Workers
 		// inheritedUnknownAt is the last time at which runs of earlier owners were unknown.
 		inheritedUnknownAt time.Time
 		// openStarts holds the starts whose workers may have crashed before they answered
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -119,7 +119,7 @@
 		}
 	}
 	e.soleOwner, e.leasesUntil = may.Sole, may.LeasesUntil
-	if may.Sole && e.missing.expire(now) {
+	if may.Sole && e.missing.Expire(now) {
 		e.fleetDirty = true
 	}
 	if !e.inheritedRunsKnown() {
@@ -171,7 +171,7 @@
 // and removes a worker that is gone.
 func (e *Engine) checkLease(now time.Time, w *worker, sole bool) {
 	silent := w.failedHolds > 0
-	if sole && (len(w.runs) > 0 || silent && e.missing.listing[w.ID]) && w.lease.Expired(now, w.clock) {
+	if sole && (len(w.runs) > 0 || silent && e.missing.Listing[w.ID]) && w.lease.Expired(now, w.clock) {
 		e.recordCrash(now, w, e.hasEnded(w.ID, w.AgentAddress))
 		for _, r := range w.runs {
 			e.markLost(now, r, "the lease expired")
@@ -179,7 +179,7 @@
 		e.emitWorker(now, w, "Lapsed", "no answer before the lease expired")
 		if w.known = false; silent {
 			w.moreEnds = false
-			e.missing.reported(w.ID, false)
+			e.missing.Reported(w.ID, false)
 		}
 	}
 	if !w.listed && len(w.runs) == 0 && !w.holdPending && (!w.clock.Known() || w.lease.Expired(now, w.clock)) {
@@ -194,7 +194,7 @@
 // clock, or 0 if there is no reading of that clock or a later owner may count on
 // the worker's earlier leases.
 func (e *Engine) extendLease(now time.Time, w *worker) time.Duration {
-	if !w.clock.Known() || e.missing.recorded[w.ID] {
+	if !w.clock.Known() || e.missing.Recorded[w.ID] {
 		return 0
 	}
 	var end time.Duration
@@ -357,7 +357,7 @@
 			// A worker that has been silent since gets no start, whose lease would have
 			// to be waited for.
 			if mayStart && !r.startPending && now.Sub(r.sentAt) > resendAfter && w.aliveAt.After(r.sentAt) &&
-				e.fenced(w) && w.failedHolds == 0 && !e.missing.recorded[w.ID] {
+				e.fenced(w) && w.failedHolds == 0 && !e.missing.Recorded[w.ID] {
 				e.sendStart(now, r)
 			}
 		}
@@ -427,7 +427,7 @@
 		for _, r := range w.runs {
 			e.markLost(now, r, "another worker has its address")
 		}
-		e.missing.reported(w.ID, false)
+		e.missing.Reported(w.ID, false)
 		w.listed, w.moreEnds = false, false
 	default:
 		var unavailable *guavascale.UnavailableError
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -192,7 +192,7 @@
 
 // usable reports whether runs may be started on the worker now.
 func (e *Engine) usable(now time.Time, w *worker) bool {
-	return w.listed && e.fenced(w) && w.durable && !e.missing.recorded[w.ID] && w.failedHolds == 0 &&
+	return w.listed && e.fenced(w) && w.durable && !e.missing.Recorded[w.ID] && w.failedHolds == 0 &&
 		!now.Before(w.backoffUntil) && w.pendingStarts < maxPendingStarts && !e.overtaken(w) && e.acceptsRuns(w)
 }
 
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -62,7 +62,7 @@
 func (e *Engine) Batch(now time.Time) *Batch {
 	e.refusals.Retry(now, (*submission).endedAt)
 	maySharedRows := !now.Before(e.sharedRetryAt)
-	fleetDue, missingDue := maySharedRows && e.fleetDirty, maySharedRows && e.missing.due(now)
+	fleetDue, missingDue := maySharedRows && e.fleetDirty, maySharedRows && e.missing.Due(now)
 	bindingsDue := maySharedRows && e.bindings.Unsaved
 	if !fleetDue && !missingDue && !bindingsDue && !e.urgent && (e.dirtySince.IsZero() || now.Sub(e.dirtySince) < commitDelay) {
 		return nil
@@ -73,7 +73,10 @@
 			e.writeFleet(now, b)
 		}
 		if missingDue {
-			e.add(b, guavarow.MissingKey, func() ([]byte, error) { return e.missing.encode(now, e.Token, b) })
+			e.add(b, guavarow.MissingKey, func() (data []byte, err error) {
+				data, b.missing, err = e.missing.Encode(now, e.Token)
+				return data, err
+			})
 		}
 		if maySharedRows && e.interference.Changed && now.Sub(e.kindsWrittenAt) >= kindsInterval {
 			e.kindsWrittenAt, e.interference.Changed = now, false
@@ -153,7 +156,7 @@
 			free = append(free, id)
 		}
 	}
-	for id := range e.missing.until {
+	for id := range e.missing.Until {
 		if w := e.workers[id]; w == nil || !w.mayHoldRuns() {
 			held = append(held, id)
 		}
@@ -245,7 +248,9 @@
 // keepChanges makes the changes of a batch that was not applied part of a later one.
 func (e *Engine) keepChanges(now time.Time, b *Batch) {
 	e.fleetDirty = e.fleetDirty || b.fleet != nil
-	e.missing.dirty = e.missing.dirty || b.missing != nil
+	if b.missing != nil {
+		e.missing.Again()
+	}
 	e.bindings.Unsaved = e.bindings.Unsaved || b.bindings
 	for _, s := range b.subs {
 		s.committing = false
@@ -289,7 +294,7 @@
 		}
 	}
 	if b.missing != nil {
-		e.missing.recorded = b.missing
+		e.missing.Recorded = b.missing
 	}
 	e.sharedRowsRefused = e.sharedRowsRefused && b.shared == 0
 	e.refusals.Accepted(b.subs...)
@@ -358,7 +363,7 @@
 	}
 	e.fleet = shard.Fleet
 	e.interference.Restore(now, shard.Kinds)
-	e.missing.restore(now, e.fleet, leasesEnd, shard.Missing, e.Token)
+	e.missing.Restore(now, e.fleet, leasesEnd, shard.Missing, e.Token)
 	e.subs = make(map[string]*submission, len(shard.Submissions))
 	for id, row := range shard.Submissions {
 		s := &submission{
--- a/guavaqueue/takeover_test.go
+++ b/guavaqueue/takeover_test.go
@@ -88,7 +88,7 @@
 	lost.unreachable = true
 	f.replaceOwner()
 	f.advance(3500 * time.Millisecond)
-	require.NotEmpty(t, f.engine.missing.recorded)
+	require.NotEmpty(t, f.engine.missing.Recorded)
 	lost.unreachable, f.storeDown = false, true
 	f.advance(1500 * time.Millisecond)
 	lost.unreachable, f.storeDown = true, false
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -100,7 +100,7 @@
 		e.markLost(now, r, "the worker restarted")
 	}
 	e.emitWorker(now, w, "Restarted", "")
-	delete(e.missing.listing, w.ID)
+	delete(e.missing.Listing, w.ID)
 	w.Born, w.lease = born, w.lease.Restarted(e.Limits.Terms)
 	w.resetEnds()
 	w.clock, w.holdAt, w.jumpedAt = guavaclock.Clock{}, time.Time{}, time.Time{}
@@ -196,8 +196,8 @@
 		w.known = true
 		e.emitWorker(now, w, "Known", "")
 	}
-	if first || e.missing.listing[w.ID] {
-		e.missing.reported(w.ID, w.moreEnds)
+	if first || e.missing.Listing[w.ID] {
+		e.missing.Reported(w.ID, w.moreEnds)
 	}
 }
 
@@ -419,7 +419,7 @@
 }
 
 // inheritedRunsKnown reports whether all runs of earlier owners are known.
-func (e *Engine) inheritedRunsKnown() bool { return len(e.missing.until)+len(e.missing.listing) == 0 }
+func (e *Engine) inheritedRunsKnown() bool { return len(e.missing.Until)+len(e.missing.Listing) == 0 }
 
 func (e *Engine) addRun(r *run) {
 	t := r.task
