guavaorder: orders and outcomes, out of guavaqueue

The calls to workers are decided by guavaqueue, carried out by guavascheduler, guavarelay and the platform's adapter; their types belong to none of them. Moved; Refusal and CertainlyNotSent are methods of an outcome now.

--- /dev/null
+++ b/guavaorder/guavaorder.go
@@ -0,0 +1,82 @@
+// Package guavaorder defines the calls to workers that a scheduler decides on and others
+// carry out, and their outcomes.
+//
+// The package that decides has no network: it returns orders and gets each outcome once. An
+// outcome tells what is known of the effect, which is the point of it: a call without an
+// answer may have been carried out, or may still be.
+package guavaorder
+
+import (
+	"errors"
+	"time"
+
+	"guavascale.example"
+)
+
+type (
+	// Kind is the type of an order.
+	Kind int
+
+	// Order is a call to a worker. The orders of one worker are sent concurrently, and
+	// each outcome is reported once.
+	Order struct {
+		Kind   Kind
+		Worker guavascale.Worker
+		// Run is set except for Hold. Start, Hold and Percent are set for a Start, a Hold
+		// and a Pace.
+		Run     guavascale.Run
+		Start   guavascale.RunStart
+		Hold    guavascale.Hold
+		Percent int
+		// Timeout bounds the call.
+		Timeout time.Duration
+		// Sent is when the order was decided on.
+		Sent time.Time
+	}
+
+	// Outcome is the result of an order.
+	Outcome struct {
+		// Err is nil, a RunError or an UnavailableError.
+		Err error
+		// NotSent is set if the owner dropped the order before sending it.
+		NotSent bool
+		Clock   guavascale.WorkerClock
+		// Report is set for Hold.
+		Report guavascale.RunReport
+	}
+)
+
+const (
+	Hold Kind = iota
+	Start
+	Stop
+	Pace
+)
+
+// String returns the name of the kind for logs.
+func (k Kind) String() string {
+	return [...]string{"Hold", "Start", "Stop", "Pace"}[k]
+}
+
+// CertainlyNotSent reports whether no byte of the order has reached the worker.
+func (out *Outcome) CertainlyNotSent() bool {
+	var unavailable *guavascale.UnavailableError
+	return out.NotSent || errors.As(out.Err, &unavailable) && !unavailable.MayHaveApplied
+}
+
+// ErrorText returns the text of an error, or "".
+func ErrorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// Refusal returns the reason for which the worker has refused the order, or "".
+func (out *Outcome) Refusal() guavascale.RunRefusal {
+	var refused *guavascale.RunError
+	if errors.As(out.Err, &refused) {
+		return refused.Reason
+	}
+	return ""
+}
--- a/guavaqueue/fleet_test.go
+++ b/guavaqueue/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavaclock"
+	"guavascale.example/guavaorder"
 )
 
 type (
@@ -88,7 +89,7 @@
 	// pendingOrder is an order without a response until due, when it fails or,
 	// for a hold, is answered at the latest.
 	pendingOrder struct {
-		order Order
+		order guavaorder.Order
 		due   time.Time
 	}
 
@@ -289,7 +290,7 @@
 			kept = append(kept, p)
 			continue
 		}
-		f.engine.Answer(f.now, p.order, Outcome{Err: errNoAnswer})
+		f.engine.Answer(f.now, p.order, guavaorder.Outcome{Err: errNoAnswer})
 	}
 	f.pending = kept
 	f.commit()
@@ -355,28 +356,28 @@
 }
 
 // deliver executes an order, or leaves it without a response.
-func (f *fleet) deliver(o Order) {
+func (f *fleet) deliver(o guavaorder.Order) {
 	w := f.workers[o.Worker.ID]
 	switch {
 	case w.replaced:
-		f.engine.Answer(f.now, o, Outcome{Err: refusal(w, guavascale.RefusedBoot)})
+		f.engine.Answer(f.now, o, guavaorder.Outcome{Err: refusal(w, guavascale.RefusedBoot)})
 	case !w.backAt.IsZero() && f.silent:
 		f.pending = append(f.pending, pendingOrder{o, f.now.Add(o.Timeout)})
 	case !w.backAt.IsZero():
-		f.engine.Answer(f.now, o, Outcome{Err: errRefused})
-	case w.removed || w.unreachable || w.ignoresOrders && o.Kind != OrderHold || w.ignoresHolds && o.Kind == OrderHold:
+		f.engine.Answer(f.now, o, guavaorder.Outcome{Err: errRefused})
+	case w.removed || w.unreachable || w.ignoresOrders && o.Kind != guavaorder.Hold || w.ignoresHolds && o.Kind == guavaorder.Hold:
 		f.pending = append(f.pending, pendingOrder{o, f.now.Add(o.Timeout)})
-	case o.Kind == OrderHold:
+	case o.Kind == guavaorder.Hold:
 		f.holds++
 		if o.Hold.Token < w.token {
-			f.engine.Answer(f.now, o, Outcome{Err: refusal(w, guavascale.RefusedToken)})
+			f.engine.Answer(f.now, o, guavaorder.Outcome{Err: refusal(w, guavascale.RefusedToken)})
 			return
 		}
 		w.token = o.Hold.Token
 		w.leaseEnd = max(w.leaseEnd, min(o.Hold.LeaseEnd, w.clock(f.now)+testLeaseMax))
 		f.dropEnds(w, o.Hold.Seen)
 		w.pendingHold = &pendingOrder{o, f.now.Add(o.Hold.Wait)}
-	case o.Kind == OrderStart && f.rand.Float64() < f.lostStartShare:
+	case o.Kind == guavaorder.Start && f.rand.Float64() < f.lostStartShare:
 		f.delayedStarts = append(f.delayedStarts, delayedStart{w.info.ID, o.Start, f.now.Add(time.Duration(f.rand.Float64() * float64(f.maxStartDelay)))})
 		f.pending = append(f.pending, pendingOrder{o, f.now.Add(o.Timeout)})
 	default:
@@ -386,7 +387,7 @@
 			return
 		}
 		if !w.backAt.IsZero() && f.loseDeadly {
-			out = Outcome{Err: errNoAnswer}
+			out = guavaorder.Outcome{Err: errNoAnswer}
 		}
 		f.engine.Answer(f.now, o, out)
 	}
@@ -425,18 +426,18 @@
 	}
 }
 
-func (f *fleet) execute(w *fakeWorker, o Order) Outcome {
-	out := Outcome{Clock: w.reading(f.now)}
+func (f *fleet) execute(w *fakeWorker, o guavaorder.Order) guavaorder.Outcome {
+	out := guavaorder.Outcome{Clock: w.reading(f.now)}
 	switch o.Kind {
-	case OrderStart:
+	case guavaorder.Start:
 		f.checkRecorded(o)
 		out.Err = f.start(w, o.Start)
-	case OrderPace:
+	case guavaorder.Pace:
 		if w.paces == nil {
 			w.paces = make(map[guavascale.Run]int)
 		}
 		w.paces[o.Run] = o.Percent
-	case OrderStop:
+	case guavaorder.Stop:
 		if f.engine.Token < w.token {
 			out.Err = refusal(w, guavascale.RefusedToken)
 			break
@@ -525,7 +526,7 @@
 		if w.removed || w.unreachable || w.ignoresHolds {
 			if !f.now.Before(o.Sent.Add(o.Timeout)) {
 				w.pendingHold = nil
-				f.engine.Answer(f.now, o, Outcome{Err: errNoAnswer})
+				f.engine.Answer(f.now, o, guavaorder.Outcome{Err: errNoAnswer})
 			}
 			continue
 		}
@@ -534,7 +535,7 @@
 		}
 		w.pendingHold = nil
 		if o.Hold.Token < w.token {
-			f.engine.Answer(f.now, o, Outcome{Err: refusal(w, guavascale.RefusedToken)})
+			f.engine.Answer(f.now, o, guavaorder.Outcome{Err: refusal(w, guavascale.RefusedToken)})
 			continue
 		}
 		ended := w.ended
@@ -560,7 +561,7 @@
 			}
 			rep.Running = append(rep.Running, state)
 		}
-		f.engine.Answer(f.now, o, Outcome{Clock: rep.Clock, Report: rep})
+		f.engine.Answer(f.now, o, guavaorder.Outcome{Clock: rep.Clock, Report: rep})
 	}
 }
 
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -37,6 +37,7 @@
 	"guavascale.example/guavacrash"
 	"guavascale.example/guavamissing"
 	"guavascale.example/guavaobjective"
+	"guavascale.example/guavaorder"
 	"guavascale.example/guavapair"
 	"guavascale.example/guavarefusal"
 	"guavascale.example/guavarow"
@@ -72,7 +73,7 @@
 		// fullSizes holds, by placement class, a task size that found no worker
 		// in this scheduling pass.
 		fullSizes map[placementClass]guavascale.Resources
-		orders    []Order
+		orders    []guavaorder.Order
 		// recording holds the runs whose starts have to be stored before they are ordered.
 		recording []*run
 		// deposed is set when a worker has seen a higher token.
--- a/guavaqueue/interfere.go
+++ b/guavaqueue/interfere.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavaorder"
 )
 
 type (
@@ -271,8 +272,8 @@
 }
 
 func (e *Engine) setPace(r *run, percent int) {
-	e.orders = append(e.orders, Order{
-		Kind: OrderPace, Worker: r.worker.Worker, Run: r.id, Percent: percent, Timeout: orderTimeout,
+	e.orders = append(e.orders, guavaorder.Order{
+		Kind: guavaorder.Pace, Worker: r.worker.Worker, Run: r.id, Percent: percent, Timeout: orderTimeout,
 	})
 	r.pace = percent
 }
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -6,30 +6,10 @@
 
 	"guavascale.example"
 	"guavascale.example/guavacrash"
+	"guavascale.example/guavaorder"
 )
 
 type (
-	// OrderKind is the type of an order.
-	OrderKind int
-
-	// Order is a call to a worker. The owner sends the orders of one worker
-	// concurrently and reports each outcome once with Answer.
-	Order struct {
-		Kind   OrderKind
-		Worker guavascale.Worker
-		// Run is set except for OrderHold.
-		Run guavascale.Run
-		// Start is set for OrderStart, Hold for OrderHold, Percent for
-		// OrderPace.
-		Start   guavascale.RunStart
-		Hold    guavascale.Hold
-		Percent int
-		// Timeout bounds the call.
-		Timeout time.Duration
-		// Sent is when Orders returned the order.
-		Sent time.Time
-	}
-
 	// Permissions state what the owner may do in a scheduling pass.
 	Permissions struct {
 		// Act is set if the owner may give orders.
@@ -45,24 +25,6 @@
 		// as expired.
 		Sole bool
 	}
-
-	// Outcome is the result of an order.
-	Outcome struct {
-		// Err is nil, a RunError or an UnavailableError.
-		Err error
-		// NotSent is set if the owner dropped the order before sending it.
-		NotSent bool
-		Clock   guavascale.WorkerClock
-		// Report is set for OrderHold.
-		Report guavascale.RunReport
-	}
-)
-
-const (
-	OrderHold OrderKind = iota
-	OrderStart
-	OrderStop
-	OrderPace
 )
 
 const (
@@ -105,14 +67,9 @@
 	fullPace      = 100
 )
 
-// String returns the name of the kind for logs.
-func (k OrderKind) String() string {
-	return [...]string{"Hold", "Start", "Stop", "Pace"}[k]
-}
-
 // Orders runs a scheduling pass and returns the orders to send. Without permission
 // to act, the pass only handles due occurrences and expired leases.
-func (e *Engine) Orders(now time.Time, may Permissions) []Order {
+func (e *Engine) Orders(now time.Time, may Permissions) []guavaorder.Order {
 	for s := range e.scheduled {
 		if !s.state.Ended() {
 			e.startDueOccurrences(now, s)
@@ -250,8 +207,8 @@
 		lease = e.extendLease(now, w)
 	}
 	w.holdPending, w.holdAt = true, now
-	e.orders = append(e.orders, Order{
-		Kind: OrderHold, Worker: w.Worker, Timeout: wait + holdTimeoutMargin,
+	e.orders = append(e.orders, guavaorder.Order{
+		Kind: guavaorder.Hold, Worker: w.Worker, Timeout: wait + holdTimeoutMargin,
 		Hold: guavascale.Hold{Token: e.Token, Seen: w.acked, LeaseEnd: lease, Wait: wait},
 	})
 }
@@ -300,8 +257,8 @@
 	}
 	r.startPending, r.sentAt, r.startEnd = true, now, max(r.startEnd, end)
 	r.worker.pendingStarts++
-	e.orders = append(e.orders, Order{
-		Kind: OrderStart, Worker: r.worker.Worker, Run: r.id, Timeout: orderTimeout,
+	e.orders = append(e.orders, guavaorder.Order{
+		Kind: guavaorder.Start, Worker: r.worker.Worker, Run: r.id, Timeout: orderTimeout,
 		Start: guavascale.RunStart{
 			Run: r.id, Payload: r.task.step.sub.Payload, Checkpoint: r.task.checkpoint,
 			LeaseEnd: end, Token: e.Token,
@@ -325,8 +282,8 @@
 	e.orders = append(e.orders, e.stopOrder(r.worker, r.id))
 }
 
-func (e *Engine) stopOrder(w *worker, id guavascale.Run) Order {
-	return Order{Kind: OrderStop, Worker: w.Worker, Run: id, Timeout: orderTimeout}
+func (e *Engine) stopOrder(w *worker, id guavascale.Run) guavaorder.Order {
+	return guavaorder.Order{Kind: guavaorder.Stop, Worker: w.Worker, Run: id, Timeout: orderTimeout}
 }
 
 // resend repeats unanswered stop orders of a worker, and start orders if mayStart is set.
@@ -366,12 +323,12 @@
 }
 
 // Answer applies the outcome of an order.
-func (e *Engine) Answer(now time.Time, o Order, out Outcome) {
+func (e *Engine) Answer(now time.Time, o guavaorder.Order, out guavaorder.Outcome) {
 	w := e.workers[o.Worker.ID]
 	if w == nil {
 		return
 	}
-	refusal := refusalOf(out.Err)
+	refusal := out.Refusal()
 	if refusal == guavascale.RefusedToken {
 		e.deposed = true
 	}
@@ -379,10 +336,10 @@
 		e.answeredSent = o.Sent
 	}
 	// Another worker at the address says nothing about this one.
-	if o.Kind != OrderHold && (out.Err == nil || refusal != "" && refusal != guavascale.RefusedBoot) {
+	if o.Kind != guavaorder.Hold && (out.Err == nil || refusal != "" && refusal != guavascale.RefusedBoot) {
 		e.recordClock(now, o.Sent, w, out.Clock)
 	}
-	if o.Kind == OrderHold {
+	if o.Kind == guavaorder.Hold {
 		if !w.holdPending || !o.Sent.Equal(w.holdAt) {
 			// The worker has restarted since.
 			return
@@ -391,7 +348,7 @@
 		e.holdAnswered(now, w, o, out, refusal)
 		return
 	}
-	if o.Kind == OrderStart {
+	if o.Kind == guavaorder.Start {
 		w.pendingStarts--
 	}
 	r := w.runs[o.Run]
@@ -399,13 +356,13 @@
 		return
 	}
 	switch o.Kind {
-	case OrderStart:
+	case guavaorder.Start:
 		e.startAnswered(now, r, out, refusal)
-	case OrderStop:
+	case guavaorder.Stop:
 		if out.Err == nil && r.phase == phaseStopping && r.confirmedAt.IsZero() {
 			r.confirmedAt = now
 		}
-	case OrderPace:
+	case guavaorder.Pace:
 		if out.Err != nil && r.pace == o.Percent {
 			// The run may still be at full pace; the next measurements decide
 			// again.
@@ -414,7 +371,7 @@
 	}
 }
 
-func (e *Engine) holdAnswered(now time.Time, w *worker, o Order, out Outcome, refusal guavascale.RunRefusal) {
+func (e *Engine) holdAnswered(now time.Time, w *worker, o guavaorder.Order, out guavaorder.Outcome, refusal guavascale.RunRefusal) {
 	switch {
 	case out.NotSent:
 		// The owner was late, which says nothing about the worker.
@@ -438,7 +395,7 @@
 		}
 		w.processEnded = w.processEnded || errors.As(out.Err, &unavailable) && unavailable.Refused
 		if w.failedHolds++; w.failedHolds == 1 {
-			e.emitWorker(now, w, "Unreachable", errorText(out.Err))
+			e.emitWorker(now, w, "Unreachable", guavaorder.ErrorText(out.Err))
 			for _, r := range w.runs {
 				e.storeSuspicion(now, r)
 			}
@@ -446,7 +403,7 @@
 	}
 }
 
-func (e *Engine) startAnswered(now time.Time, r *run, out Outcome, refusal guavascale.RunRefusal) {
+func (e *Engine) startAnswered(now time.Time, r *run, out guavaorder.Outcome, refusal guavascale.RunRefusal) {
 	r.startPending = false
 	if out.Err == nil {
 		if r.phase == phaseStarting {
@@ -457,11 +414,11 @@
 		}
 		return
 	}
-	if out.certainlyNotSent() && !r.unanswered && r.phase == phaseStarting {
+	if out.CertainlyNotSent() && !r.unanswered && r.phase == phaseStarting {
 		if !out.NotSent {
 			r.worker.backoffUntil = now.Add(noRoomBackoff)
 		}
-		e.markLost(now, r, "start was not sent: "+errorText(out.Err))
+		e.markLost(now, r, "start was not sent: "+guavaorder.ErrorText(out.Err))
 		return
 	}
 	if refusal == "" {
@@ -499,24 +456,3 @@
 	}
 	e.markLost(now, r, "start refused: "+string(refusal))
 }
-
-// certainlyNotSent reports whether no byte of the order has reached the worker.
-func (out *Outcome) certainlyNotSent() bool {
-	var unavailable *guavascale.UnavailableError
-	return out.NotSent || errors.As(out.Err, &unavailable) && !unavailable.MayHaveApplied
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
-func refusalOf(err error) guavascale.RunRefusal {
-	var refused *guavascale.RunError
-	if errors.As(err, &refused) {
-		return refused.Reason
-	}
-	return ""
-}
--- a/guavaqueue/recorded_test.go
+++ b/guavaqueue/recorded_test.go
@@ -10,6 +10,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavacrash"
+	"guavascale.example/guavaorder"
 	"guavascale.example/guavarow"
 )
 
@@ -100,7 +101,7 @@
 
 // checkRecorded fails the test if an order starts a task of which an earlier owner may have
 // told nobody, or under which workers have crashed, and the store doesn't hold the start.
-func (f *fleet) checkRecorded(o Order) {
+func (f *fleet) checkRecorded(o guavaorder.Order) {
 	t := f.engine.task(o.Run.Task)
 	if t == nil || !t.mustRecord() || t.step.spec.Copies {
 		return
@@ -165,21 +166,21 @@
 	f.listIsStale = true
 	f.advance(time.Second)
 	w := f.engine.workers["w0"]
-	hold := Order{Kind: OrderHold, Worker: w.Worker, Sent: w.holdAt}
+	hold := guavaorder.Order{Kind: guavaorder.Hold, Worker: w.Worker, Sent: w.holdAt}
 	f.workers["w0"].pendingHold = nil
-	var start *Order
+	var start *guavaorder.Order
 	for range 3 {
 		f.now = f.now.Add(fleetTick)
 		for _, o := range f.engine.Orders(f.now, Permissions{Act: true, Start: true, Sole: true, LeasesUntil: f.now.Add(testLeaseBound)}) {
-			if o.Kind == OrderStart {
+			if o.Kind == guavaorder.Start {
 				start = &o
 			}
 		}
 		f.commit()
 	}
 	require.NotNil(t, start)
-	f.engine.Answer(f.now, hold, Outcome{Err: errNoAnswer})
-	f.engine.Answer(f.now, *start, Outcome{Clock: guavascale.WorkerClock(f.workers["w0"].clock(f.now))})
+	f.engine.Answer(f.now, hold, guavaorder.Outcome{Err: errNoAnswer})
+	f.engine.Answer(f.now, *start, guavaorder.Outcome{Clock: guavascale.WorkerClock(f.workers["w0"].clock(f.now))})
 	f.commit()
 	f.replaceOwner()
 	require.Equal(t, guavacrash.Suspect, f.engine.subs["a"].steps[0].tasks[0].record.Open.Evidence)
--- a/guavaqueue/takeover_test.go
+++ b/guavaqueue/takeover_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
+	"guavascale.example/guavaorder"
 )
 
 // Guards against starts while the list of workers is too old, and against services
@@ -32,16 +33,16 @@
 	f := newFleet(t, 1)
 	f.advance(time.Second)
 	w := f.engine.workers["w0"]
-	hold := Order{Kind: OrderHold, Worker: w.Worker, Sent: w.holdAt}
+	hold := guavaorder.Order{Kind: guavaorder.Hold, Worker: w.Worker, Sent: w.holdAt}
 	f.workers["w0"].pendingHold = nil
-	f.engine.Answer(f.now, hold, Outcome{Err: errNoAnswer, NotSent: true})
+	f.engine.Answer(f.now, hold, guavaorder.Outcome{Err: errNoAnswer, NotSent: true})
 	assert.Zero(t, w.failedHolds)
 	f.submit(batchOf("a", 1, 1, time.Second))
 	f.commit()
 	f.now = f.now.Add(fleetTick)
 	for _, o := range f.engine.Orders(f.now, Permissions{Act: true, Start: true, Sole: true}) {
-		if o.Kind == OrderStart {
-			f.engine.Answer(f.now, o, Outcome{Err: errNoAnswer, NotSent: true})
+		if o.Kind == guavaorder.Start {
+			f.engine.Answer(f.now, o, guavaorder.Outcome{Err: errNoAnswer, NotSent: true})
 		}
 	}
 	assert.Empty(t, w.runs)
--- a/guavarelay/guavarelay.go
+++ b/guavarelay/guavarelay.go
@@ -30,7 +30,7 @@
 	"github.com/rs/zerolog"
 
 	"guavascale.example"
-	"guavascale.example/guavaqueue"
+	"guavascale.example/guavaorder"
 )
 
 // Preamble is sent first on a stream, which shares a listener with other protocols. It
@@ -51,25 +51,25 @@
 )
 
 // Execute sends an order to its worker and returns the outcome.
-func Execute(ctx context.Context, log *zerolog.Logger, r guavascale.Runner, token uint64, o *guavaqueue.Order) (out guavaqueue.Outcome) {
+func Execute(ctx context.Context, log *zerolog.Logger, r guavascale.Runner, token uint64, o *guavaorder.Order) (out guavaorder.Outcome) {
 	defer func() {
 		if fault := recover(); fault != nil {
 			log.Error().Interface("Fault", fault).Bytes("Stack", debug.Stack()).Str("Worker", string(o.Worker.ID)).
 				Msg("relay: an order panicked")
-			out = guavaqueue.Outcome{Err: fmt.Errorf("panic: %v", fault)}
+			out = guavaorder.Outcome{Err: fmt.Errorf("panic: %v", fault)}
 		}
 	}()
 	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
 	defer cancel()
 	switch o.Kind {
-	case guavaqueue.OrderHold:
+	case guavaorder.Hold:
 		out.Report, out.Err = r.Hold(ctx, o.Worker, o.Hold)
 		out.Clock = out.Report.Clock
-	case guavaqueue.OrderStart:
+	case guavaorder.Start:
 		out.Clock, out.Err = r.Start(ctx, o.Worker, o.Start)
-	case guavaqueue.OrderStop:
+	case guavaorder.Stop:
 		out.Clock, out.Err = r.Stop(ctx, o.Worker, o.Run, token)
-	case guavaqueue.OrderPace:
+	case guavaorder.Pace:
 		out.Clock, out.Err = r.Pace(ctx, o.Worker, o.Run, o.Percent, token)
 	default:
 		return notSent(errUnknown)
--- a/guavarelay/hub.go
+++ b/guavarelay/hub.go
@@ -8,7 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"guavascale.example"
-	"guavascale.example/guavaqueue"
+	"guavascale.example/guavaorder"
 )
 
 type (
@@ -22,7 +22,7 @@
 		Post func(f func()) bool
 		// Answer receives the outcome of each order once. At is the time at which it
 		// became known.
-		Answer func(o guavaqueue.Order, out guavaqueue.Outcome, at time.Time)
+		Answer func(o guavaorder.Order, out guavaorder.Outcome, at time.Time)
 
 		links map[string]*link
 		// workers holds the zones of the workers, and assigned the instance of the
@@ -47,7 +47,7 @@
 	}
 
 	pendingOrder struct {
-		order guavaqueue.Order
+		order guavaorder.Order
 		// until is the time by which the relay must have sent the order.
 		until time.Time
 	}
@@ -135,7 +135,7 @@
 
 // Send passes an order to the relay of its worker, to be sent by the given time. It
 // returns false if the owner has to send the order itself.
-func (h *Hub) Send(now time.Time, o guavaqueue.Order, until time.Time) bool {
+func (h *Hub) Send(now time.Time, o guavaorder.Order, until time.Time) bool {
 	l := h.links[h.assigned[o.Worker.ID]]
 	if l == nil || l.leaving || until.Sub(now) < minValidity || h.direct[o.Worker.ID] != nil {
 		return false
@@ -169,7 +169,7 @@
 		}
 		for _, p := range l.takeOverdue(now) {
 			h.callDirectly(now, l, p.order.Worker.ID)
-			h.Answer(p.order, guavaqueue.Outcome{Err: unavailable(&p.order, true, errLinkLost)}, now)
+			h.Answer(p.order, guavaorder.Outcome{Err: unavailable(&p.order, true, errLinkLost)}, now)
 		}
 	}
 	h.expirePaths(now)
@@ -246,8 +246,8 @@
 	now := h.Clock.Now()
 	for number, p := range l.pending {
 		out := notSent(errLinkLost)
-		if p.order.Kind != guavaqueue.OrderHold && !l.isQueued(number) {
-			out = guavaqueue.Outcome{Err: unavailable(&p.order, true, errLinkLost)}
+		if p.order.Kind != guavaorder.Hold && !l.isQueued(number) {
+			out = guavaorder.Outcome{Err: unavailable(&p.order, true, errLinkLost)}
 		}
 		h.Answer(p.order, out, now)
 	}
--- a/guavarelay/relay_test.go
+++ b/guavarelay/relay_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
-	"guavascale.example/guavaqueue"
+	"guavascale.example/guavaorder"
 )
 
 type (
@@ -35,7 +35,7 @@
 		events chan func()
 		// relay is the relay's end of the stream.
 		relay    net.Conn
-		outcomes map[guavascale.Run]guavaqueue.Outcome
+		outcomes map[guavascale.Run]guavaorder.Outcome
 	}
 )
 
@@ -80,11 +80,11 @@
 }
 
 func newHubTest(t *testing.T) *hubTest {
-	h := &hubTest{clock: &manualClock{}, events: make(chan func(), 100), outcomes: make(map[guavascale.Run]guavaqueue.Outcome)}
+	h := &hubTest{clock: &manualClock{}, events: make(chan func(), 100), outcomes: make(map[guavascale.Run]guavaorder.Outcome)}
 	h.Hub = Hub{
 		Token: 5, Clock: h.clock, Log: zerolog.Nop(),
 		Post:   func(f func()) bool { h.events <- f; return true },
-		Answer: func(o guavaqueue.Order, out guavaqueue.Outcome, _ time.Time) { h.outcomes[o.Run] = out },
+		Answer: func(o guavaorder.Order, out guavaorder.Outcome, _ time.Time) { h.outcomes[o.Run] = out },
 	}
 	var owner net.Conn
 	owner, h.relay = connect(t)
@@ -95,14 +95,14 @@
 }
 
 // send passes an order of a kind to the hub, which must accept it.
-func (h *hubTest) send(t *testing.T, kind guavaqueue.OrderKind) guavascale.Run {
+func (h *hubTest) send(t *testing.T, kind guavaorder.Kind) guavascale.Run {
 	run := guavascale.Run{Task: guavascale.TaskRef{Submission: kind.String()}, Attempt: int64(h.number) + 1}
 	require.True(t, h.Send(h.clock.Now(), testOrder(kind, run, h.clock.Now()), h.clock.Now().Add(time.Second)))
 	return run
 }
 
-func testOrder(kind guavaqueue.OrderKind, run guavascale.Run, sent time.Time) guavaqueue.Order {
-	return guavaqueue.Order{Kind: kind, Worker: guavascale.Worker{ID: "w"}, Run: run, Timeout: time.Second, Sent: sent}
+func testOrder(kind guavaorder.Kind, run guavascale.Run, sent time.Time) guavaorder.Order {
+	return guavaorder.Order{Kind: kind, Worker: guavascale.Worker{ID: "w"}, Run: run, Timeout: time.Second, Sent: sent}
 }
 
 // Guards against orders that a relay sends although it, or the owner, was suspended
@@ -134,7 +134,7 @@
 			stream, err := ReadHello(conn, br)
 			require.NoError(t, err)
 			assert.Equal(t, hello{Instance: "r", Zone: "z", Strength: 1, Clock: clock.Now().UnixNano()}, stream.hello)
-			order := testOrder(guavaqueue.OrderStart, testRun, time.Time{})
+			order := testOrder(guavaorder.Start, testRun, time.Time{})
 			require.NoError(t, encoding.NewEncoder(conn).Encode(orderFrame{
 				Token: 5, Echo: clock.Now().Add(-tc.age).UnixNano(), Orders: []wireOrder{toWireOrder(&order, 9, 500*time.Millisecond)},
 			}))
@@ -154,9 +154,9 @@
 // and against workers that count as unreachable since their relay was lost.
 func TestLostRelay(t *testing.T) {
 	h := newHubTest(t)
-	start, hold := h.send(t, guavaqueue.OrderStart), h.send(t, guavaqueue.OrderHold)
+	start, hold := h.send(t, guavaorder.Start), h.send(t, guavaorder.Hold)
 	h.Flush(h.clock.Now())
-	queued := h.send(t, guavaqueue.OrderStart)
+	queued := h.send(t, guavaorder.Start)
 	_ = h.relay.Close()
 	(<-h.events)()
 	require.Len(t, h.outcomes, 3)
@@ -167,7 +167,7 @@
 	assert.True(t, h.outcomes[hold].NotSent)
 	assert.True(t, h.outcomes[queued].NotSent)
 	assert.Zero(t, h.Relays())
-	assert.False(t, h.Send(h.clock.Now(), guavaqueue.Order{Worker: guavascale.Worker{ID: "w"}}, h.clock.Now().Add(time.Second)))
+	assert.False(t, h.Send(h.clock.Now(), guavaorder.Order{Worker: guavascale.Worker{ID: "w"}}, h.clock.Now().Add(time.Second)))
 }
 
 // Guards against a relay without power that keeps its workers, and against an owner
@@ -211,12 +211,12 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			h := newHubTest(t)
-			run := h.send(t, guavaqueue.OrderHold)
+			run := h.send(t, guavaorder.Hold)
 			require.NoError(t, encoding.NewEncoder(h.relay).Encode(outcomeFrame{Outcomes: []wireOutcome{{Number: h.number, Status: tc.status}}}))
 			(<-h.events)()
 			assert.Contains(t, h.outcomes, run)
 			now := h.clock.Now()
-			next := testOrder(guavaqueue.OrderHold, testRun, now)
+			next := testOrder(guavaorder.Hold, testRun, now)
 			assert.Equal(t, !tc.direct, h.Send(now, next, now.Add(time.Second)))
 			h.Expire(now.Add(directTime))
 			assert.True(t, h.Send(now, next, now.Add(time.Second)))
@@ -227,18 +227,18 @@
 // Guards against orders for a relay that shuts down.
 func TestLeavingRelayGetsNoOrders(t *testing.T) {
 	h := newHubTest(t)
-	h.send(t, guavaqueue.OrderHold)
+	h.send(t, guavaorder.Hold)
 	require.NoError(t, encoding.NewEncoder(h.relay).Encode(outcomeFrame{Leaving: true}))
 	(<-h.events)()
 	now := h.clock.Now()
-	assert.False(t, h.Send(now, testOrder(guavaqueue.OrderHold, testRun, now), now.Add(time.Second)))
+	assert.False(t, h.Send(now, testOrder(guavaorder.Hold, testRun, now), now.Add(time.Second)))
 }
 
 // Guards against an order whose outcome never arrives and that binds its worker for
 // good, although the relay is in touch.
 func TestOverdueOrders(t *testing.T) {
 	h := newHubTest(t)
-	run := h.send(t, guavaqueue.OrderStart)
+	run := h.send(t, guavaorder.Start)
 	for range 30 {
 		h.clock.advance(heartbeatInterval)
 		require.NoError(t, encoding.NewEncoder(h.relay).Encode(outcomeFrame{}))
@@ -255,7 +255,7 @@
 // missing.
 func TestPausedOwnerReadsOutcomesFirst(t *testing.T) {
 	h := newHubTest(t)
-	run := h.send(t, guavaqueue.OrderHold)
+	run := h.send(t, guavaorder.Hold)
 	h.clock.advance(10 * time.Second)
 	h.Expire(h.clock.Now())
 	assert.NotContains(t, h.outcomes, run)
@@ -268,7 +268,7 @@
 // Guards against an order of a kind that a relay does not know and reports as done.
 func TestUnknownOrderIsNotSent(t *testing.T) {
 	log := zerolog.Nop()
-	out := Execute(t.Context(), &log, &fakeRunner{}, 1, &guavaqueue.Order{Kind: 99, Timeout: time.Second})
+	out := Execute(t.Context(), &log, &fakeRunner{}, 1, &guavaorder.Order{Kind: 99, Timeout: time.Second})
 	assert.True(t, out.NotSent)
 	assert.Error(t, out.Err)
 }
@@ -285,17 +285,17 @@
 // Guards against fields of orders and outcomes that are lost on the way.
 func TestWire(t *testing.T) {
 	worker := guavascale.Worker{ID: "w", AgentAddress: "127.0.0.1:1"}
-	orders := map[string]guavaqueue.Order{
+	orders := map[string]guavaorder.Order{
 		"start": {
-			Kind: guavaqueue.OrderStart, Worker: worker, Run: testRun, Timeout: time.Second,
+			Kind: guavaorder.Start, Worker: worker, Run: testRun, Timeout: time.Second,
 			Start: guavascale.RunStart{Run: testRun, Payload: "p", Checkpoint: "c", Ticket: "t", LeaseEnd: time.Minute, Token: 5},
 		},
 		"hold": {
-			Kind: guavaqueue.OrderHold, Worker: worker, Timeout: time.Second,
+			Kind: guavaorder.Hold, Worker: worker, Timeout: time.Second,
 			Hold: guavascale.Hold{Token: 5, Seen: 6, LeaseEnd: time.Minute, Wait: time.Second},
 		},
-		"stop": {Kind: guavaqueue.OrderStop, Worker: worker, Run: testRun, Timeout: time.Second},
-		"pace": {Kind: guavaqueue.OrderPace, Worker: worker, Run: testRun, Percent: 20, Timeout: time.Second},
+		"stop": {Kind: guavaorder.Stop, Worker: worker, Run: testRun, Timeout: time.Second},
+		"pace": {Kind: guavaorder.Pace, Worker: worker, Run: testRun, Percent: 20, Timeout: time.Second},
 	}
 	for name, o := range orders {
 		t.Run(name, func(t *testing.T) {
@@ -312,7 +312,7 @@
 		Ended:   []guavascale.RunEnd{{Number: 9, Run: testRun, Outcome: guavascale.RunDone, Checkpoint: "d"}},
 	}
 	hold := orders["hold"]
-	outcomes := map[string]guavaqueue.Outcome{
+	outcomes := map[string]guavaorder.Outcome{
 		"report":   {Clock: 7, Report: report},
 		"refused":  {Clock: 7, Err: &guavascale.RunError{Worker: "w", Op: "Hold", Reason: guavascale.RefusedToken, Clock: 7}},
 		"not sent": notSent(errors.New("late")),
@@ -356,7 +356,7 @@
 	enc := encoding.NewEncoder(h.relay)
 	for i, w := range list.Set[:4] {
 		now := h.clock.Now()
-		require.True(t, h.Send(now, guavaqueue.Order{Worker: w, Sent: now, Timeout: time.Second}, now.Add(time.Second)))
+		require.True(t, h.Send(now, guavaorder.Order{Worker: w, Sent: now, Timeout: time.Second}, now.Add(time.Second)))
 		require.NoError(t, enc.Encode(outcomeFrame{Outcomes: []wireOutcome{{Number: uint64(i + 1), Status: statusUnknown}}}))
 		(<-h.events)()
 	}
--- a/guavarelay/wire.go
+++ b/guavarelay/wire.go
@@ -7,7 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"guavascale.example"
-	"guavascale.example/guavaqueue"
+	"guavascale.example/guavaorder"
 )
 
 type (
@@ -33,7 +33,7 @@
 	wireOrder struct {
 		_       struct{} `cbor:",toarray"`
 		Number  uint64
-		Kind    guavaqueue.OrderKind
+		Kind    guavaorder.Kind
 		Worker  guavascale.WorkerID
 		Address string
 		// Valid is the time since Echo within which the order may be sent.
@@ -144,37 +144,37 @@
 	}
 }
 
-func toWireOrder(o *guavaqueue.Order, number uint64, valid time.Duration) wireOrder {
+func toWireOrder(o *guavaorder.Order, number uint64, valid time.Duration) wireOrder {
 	w := wireOrder{
 		Number: number, Kind: o.Kind, Worker: o.Worker.ID, Address: o.Worker.AgentAddress, Valid: valid, Timeout: o.Timeout,
 		Run: toWireRun(o.Run), Percent: o.Percent,
 	}
 	switch o.Kind {
-	case guavaqueue.OrderStart:
+	case guavaorder.Start:
 		w.Payload, w.Checkpoint, w.Ticket, w.LeaseEnd = o.Start.Payload, o.Start.Checkpoint, o.Start.Ticket, o.Start.LeaseEnd
-	case guavaqueue.OrderHold:
+	case guavaorder.Hold:
 		w.LeaseEnd, w.Seen, w.Wait = o.Hold.LeaseEnd, o.Hold.Seen, o.Hold.Wait
 	}
 	return w
 }
 
-func (w *wireOrder) order(token uint64) guavaqueue.Order {
-	o := guavaqueue.Order{
+func (w *wireOrder) order(token uint64) guavaorder.Order {
+	o := guavaorder.Order{
 		Kind: w.Kind, Worker: guavascale.Worker{ID: w.Worker, AgentAddress: w.Address}, Run: w.Run.run(),
 		Percent: w.Percent, Timeout: w.Timeout,
 	}
 	switch w.Kind {
-	case guavaqueue.OrderStart:
+	case guavaorder.Start:
 		o.Start = guavascale.RunStart{
 			Run: o.Run, Payload: w.Payload, Checkpoint: w.Checkpoint, LeaseEnd: w.LeaseEnd, Token: token, Ticket: w.Ticket,
 		}
-	case guavaqueue.OrderHold:
+	case guavaorder.Hold:
 		o.Hold = guavascale.Hold{Token: token, Seen: w.Seen, LeaseEnd: w.LeaseEnd, Wait: w.Wait}
 	}
 	return o
 }
 
-func toWireOutcome(number uint64, out *guavaqueue.Outcome) wireOutcome {
+func toWireOutcome(number uint64, out *guavaorder.Outcome) wireOutcome {
 	w := wireOutcome{Number: number, Clock: out.Clock, Born: out.Report.Born}
 	var (
 		refused     *guavascale.RunError
@@ -208,8 +208,8 @@
 }
 
 // outcome decodes the outcome of an order.
-func (w *wireOutcome) outcome(o *guavaqueue.Order) guavaqueue.Outcome {
-	out := guavaqueue.Outcome{Clock: w.Clock}
+func (w *wireOutcome) outcome(o *guavaorder.Order) guavaorder.Outcome {
+	out := guavaorder.Outcome{Clock: w.Clock}
 	switch w.Status {
 	case statusDone:
 	case statusRefused:
@@ -239,8 +239,8 @@
 	return out
 }
 
-func notSent(cause error) guavaqueue.Outcome { return guavaqueue.Outcome{Err: cause, NotSent: true} }
+func notSent(cause error) guavaorder.Outcome { return guavaorder.Outcome{Err: cause, NotSent: true} }
 
-func unavailable(o *guavaqueue.Order, mayHaveApplied bool, cause error) *guavascale.UnavailableError {
+func unavailable(o *guavaorder.Order, mayHaveApplied bool, cause error) *guavascale.UnavailableError {
 	return &guavascale.UnavailableError{System: system, Op: o.Kind.String(), MayHaveApplied: mayHaveApplied, Cause: cause}
 }
--- a/guavascheduler/meters.go
+++ b/guavascheduler/meters.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"guavascale.example"
+	"guavascale.example/guavaorder"
 	"guavascale.example/guavaqueue"
 )
 
@@ -99,7 +100,7 @@
 }
 
 // order records the outcome and duration of an order to a worker.
-func (m *meters) order(o guavaqueue.Order, out guavaqueue.Outcome, d time.Duration) {
+func (m *meters) order(o guavaorder.Order, out guavaorder.Outcome, d time.Duration) {
 	var runErr *guavascale.RunError
 	switch {
 	case errors.As(out.Err, &runErr):
@@ -109,7 +110,7 @@
 	default:
 		m.count("order."+o.Kind.String()+".Done", 1)
 	}
-	if o.Kind != guavaqueue.OrderHold {
+	if o.Kind != guavaorder.Hold {
 		m.recordDuration("order."+o.Kind.String(), d)
 	}
 }
--- a/guavascheduler/ownerload.go
+++ b/guavascheduler/ownerload.go
@@ -7,7 +7,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
-	"guavascale.example/guavaqueue"
+	"guavascale.example/guavaorder"
 )
 
 type (
@@ -24,7 +24,7 @@
 		// in nanoseconds.
 		steps, stepTime atomic.Int64
 		// orders counts the orders by kind.
-		orders [guavaqueue.OrderPace + 1]atomic.Int64
+		orders [guavaorder.Pace + 1]atomic.Int64
 		// listed counts the workers that are new or changed in the platform's list.
 		listed atomic.Int64
 		// relayed counts the orders that were passed to relays.
@@ -68,7 +68,7 @@
 	}
 	l.writtenAt, l.processor = now, used
 	for kind := range l.orders {
-		line.Int64(guavaqueue.OrderKind(kind).String()+"s", l.orders[kind].Swap(0))
+		line.Int64(guavaorder.Kind(kind).String()+"s", l.orders[kind].Swap(0))
 	}
 	return line.Int64("Listed", l.listed.Swap(0)).Int64("Relayed", l.relayed.Swap(0)).
 		Int64("Steps", l.steps.Swap(0)).Dur("StepTimeMs", time.Duration(l.stepTime.Swap(0))).
--- a/guavascheduler/relay.go
+++ b/guavascheduler/relay.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"guavascale.example/guavaqueue"
+	"guavascale.example/guavaorder"
 	"guavascale.example/guavarelay"
 )
 
@@ -26,7 +26,7 @@
 func (t *term) newHub() guavarelay.Hub {
 	return guavarelay.Hub{
 		Token: t.engine.Token, Clock: t.scheduler.Clock, Log: t.scheduler.Log, Post: t.post,
-		Answer: func(o guavaqueue.Order, out guavaqueue.Outcome, at time.Time) {
+		Answer: func(o guavaorder.Order, out guavaorder.Outcome, at time.Time) {
 			t.scheduler.meters.order(o, out, at.Sub(o.Sent))
 			t.answer(o, out, at)
 		},
@@ -36,10 +36,10 @@
 // relayUntil returns the time by which a relay must have sent an order. The host of a
 // relay may be in touch with the platform while the owner's is not, so a relay starts
 // runs only while no other daemon can own the shard and the list of workers is recent.
-func (t *term) relayUntil(o *guavaqueue.Order) time.Time {
+func (t *term) relayUntil(o *guavaorder.Order) time.Time {
 	until := o.Sent.Add(maxOrderAge)
 	committed := time.Unix(0, t.lastCommit.Load())
-	if o.Kind != guavaqueue.OrderStart {
+	if o.Kind != guavaorder.Start {
 		return earlier(until, committed.Add(t.scheduler.Limits.OwnerLease))
 	}
 	until = earlier(until, committed.Add(readLease))
--- a/guavascheduler/relay_test.go
+++ b/guavascheduler/relay_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"guavascale.example/guavaqueue"
+	"guavascale.example/guavaorder"
 )
 
 // Guards against starts that a relay sends for an owner that may have been replaced, or
@@ -14,17 +14,17 @@
 // the owner's is not.
 func TestRelaysStartNothingInDoubt(t *testing.T) {
 	cases := map[string]struct {
-		kind               guavaqueue.OrderKind
+		kind               guavaorder.Kind
 		commitAge, listAge time.Duration
 		want               time.Duration
 	}{
-		"start":                   {kind: guavaqueue.OrderStart, want: maxOrderAge},
-		"start, commits are late": {kind: guavaqueue.OrderStart, commitAge: 900 * time.Millisecond, want: 180 * time.Millisecond},
-		"start, another may own":  {kind: guavaqueue.OrderStart, commitAge: 2 * time.Second, want: readLease - 2*time.Second},
-		"start, old list":         {kind: guavaqueue.OrderStart, listAge: 1500 * time.Millisecond, want: 200 * time.Millisecond},
-		"hold, another may own":   {kind: guavaqueue.OrderHold, commitAge: 2 * time.Second, want: maxOrderAge},
-		"stop, old list":          {kind: guavaqueue.OrderStop, listAge: time.Minute, want: maxOrderAge},
-		"stop, the lease ends":    {kind: guavaqueue.OrderStop, commitAge: 4500 * time.Millisecond, want: 500 * time.Millisecond},
+		"start":                   {kind: guavaorder.Start, want: maxOrderAge},
+		"start, commits are late": {kind: guavaorder.Start, commitAge: 900 * time.Millisecond, want: 180 * time.Millisecond},
+		"start, another may own":  {kind: guavaorder.Start, commitAge: 2 * time.Second, want: readLease - 2*time.Second},
+		"start, old list":         {kind: guavaorder.Start, listAge: 1500 * time.Millisecond, want: 200 * time.Millisecond},
+		"hold, another may own":   {kind: guavaorder.Hold, commitAge: 2 * time.Second, want: maxOrderAge},
+		"stop, old list":          {kind: guavaorder.Stop, listAge: time.Minute, want: maxOrderAge},
+		"stop, the lease ends":    {kind: guavaorder.Stop, commitAge: 4500 * time.Millisecond, want: 500 * time.Millisecond},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -37,7 +37,7 @@
 			// The store is known to be unreachable, in which case the owner's own
 			// starts go on.
 			tm.failures.Store(outageThreshold)
-			until := tm.relayUntil(&guavaqueue.Order{Kind: tc.kind, Sent: now})
+			until := tm.relayUntil(&guavaorder.Order{Kind: tc.kind, Sent: now})
 			assert.Equal(t, tc.want, until.Sub(now))
 		})
 	}
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -13,6 +13,7 @@
 	"github.com/panjf2000/ants/v2"
 
 	"guavascale.example"
+	"guavascale.example/guavaorder"
 	"guavascale.example/guavaowner"
 	"guavascale.example/guavaqueue"
 	"guavascale.example/guavarelay"
@@ -151,8 +152,8 @@
 }
 
 // mayStillSend reports whether an order may be sent now.
-func (t *term) mayStillSend(now time.Time, o guavaqueue.Order) bool {
-	return t.canIssueOrders(now) && now.Sub(o.Sent) < maxOrderAge && (o.Kind != guavaqueue.OrderStart || t.canStartRuns(now))
+func (t *term) mayStillSend(now time.Time, o guavaorder.Order) bool {
+	return t.canIssueOrders(now) && now.Sub(o.Sent) < maxOrderAge && (o.Kind != guavaorder.Start || t.canStartRuns(now))
 }
 
 // canServeReads reports whether it is certain that no other daemon has claimed
@@ -389,14 +390,14 @@
 
 // dispatch passes an order to a relay or executes it in the background, and passes the
 // outcome to the engine.
-func (t *term) dispatch(ctx context.Context, now time.Time, o guavaqueue.Order) {
+func (t *term) dispatch(ctx context.Context, now time.Time, o guavaorder.Order) {
 	t.load.orders[o.Kind].Add(1)
 	if t.hub.Send(now, o, t.relayUntil(&o)) {
 		t.load.relayed.Add(1)
 		return
 	}
 	pool := t.callPool
-	if o.Kind == guavaqueue.OrderHold {
+	if o.Kind == guavaorder.Hold {
 		pool = t.holdPool
 	}
 	err := pool.Submit(func() {
@@ -410,12 +411,12 @@
 	})
 	if err != nil {
 		// All calls of the pool are in progress.
-		t.engine.Answer(t.scheduler.Clock.Now(), o, guavaqueue.Outcome{Err: err, NotSent: true})
+		t.engine.Answer(t.scheduler.Clock.Now(), o, guavaorder.Outcome{Err: err, NotSent: true})
 	}
 }
 
 // answer passes the outcome of an order, known at a given time, to the engine.
-func (t *term) answer(o guavaqueue.Order, out guavaqueue.Outcome, at time.Time) {
+func (t *term) answer(o guavaorder.Order, out guavaorder.Outcome, at time.Time) {
 	now := t.scheduler.Clock.Now()
 	t.load.answerDelay.record(now.Sub(at))
 	t.scheduler.meters.recordDuration("owner.answer-delay", now.Sub(at))
@@ -424,8 +425,8 @@
 
 // send sends an order, unless it is too late for it, and returns its outcome and the
 // time of it.
-func (t *term) send(ctx context.Context, o guavaqueue.Order) (guavaqueue.Outcome, time.Time) {
-	out := guavaqueue.Outcome{Err: guavarelay.ErrOrderTooLate, NotSent: true}
+func (t *term) send(ctx context.Context, o guavaorder.Order) (guavaorder.Outcome, time.Time) {
+	out := guavaorder.Outcome{Err: guavarelay.ErrOrderTooLate, NotSent: true}
 	now := t.scheduler.Clock.Now()
 	t.load.orderDelay.record(now.Sub(o.Sent))
 	t.scheduler.meters.recordDuration("owner.order-delay", now.Sub(o.Sent))
--- a/guavascheduler/term_test.go
+++ b/guavascheduler/term_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
+	"guavascale.example/guavaorder"
 	"guavascale.example/guavaqueue"
 )
 
@@ -99,7 +100,7 @@
 	tm.events <- func() { panic("test") }
 	require.ErrorContains(t, tm.run(t.Context()), "panic")
 
-	order := guavaqueue.Order{Kind: guavaqueue.OrderStart, Timeout: time.Second, Sent: tm.scheduler.Clock.Now()}
+	order := guavaorder.Order{Kind: guavaorder.Start, Timeout: time.Second, Sent: tm.scheduler.Clock.Now()}
 	out, _ := tm.send(t.Context(), order)
 	require.Error(t, out.Err)
 	assert.False(t, out.NotSent)
@@ -110,28 +111,28 @@
 // itself too old, and any order after the owner's lease.
 func TestDelayedOrdersAreNotSent(t *testing.T) {
 	cases := map[string]struct {
-		kind  guavaqueue.OrderKind
+		kind  guavaorder.Kind
 		delay time.Duration
 		// listAge is added to the age of the list of workers, commitAge to that of
 		// the last commit.
 		listAge, commitAge time.Duration
 		sent               bool
 	}{
-		"prompt start":            {kind: guavaqueue.OrderStart, sent: true},
-		"start, old list":         {kind: guavaqueue.OrderStart, listAge: 1800 * time.Millisecond},
-		"stop, old list":          {kind: guavaqueue.OrderStop, listAge: 1800 * time.Millisecond, sent: true},
-		"old start":               {kind: guavaqueue.OrderStart, delay: 1100 * time.Millisecond},
-		"old stop":                {kind: guavaqueue.OrderStop, delay: 1100 * time.Millisecond},
-		"old hold":                {kind: guavaqueue.OrderHold, delay: 1100 * time.Millisecond},
-		"stop, lease has expired": {kind: guavaqueue.OrderStop, commitAge: 5 * time.Second},
-		"hold, lease has expired": {kind: guavaqueue.OrderHold, commitAge: 5 * time.Second},
+		"prompt start":            {kind: guavaorder.Start, sent: true},
+		"start, old list":         {kind: guavaorder.Start, listAge: 1800 * time.Millisecond},
+		"stop, old list":          {kind: guavaorder.Stop, listAge: 1800 * time.Millisecond, sent: true},
+		"old start":               {kind: guavaorder.Start, delay: 1100 * time.Millisecond},
+		"old stop":                {kind: guavaorder.Stop, delay: 1100 * time.Millisecond},
+		"old hold":                {kind: guavaorder.Hold, delay: 1100 * time.Millisecond},
+		"stop, lease has expired": {kind: guavaorder.Stop, commitAge: 5 * time.Second},
+		"hold, lease has expired": {kind: guavaorder.Hold, commitAge: 5 * time.Second},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			clock, runner := &manualClock{}, &countingRunner{}
 			clock.advance(time.Hour)
 			tm := newTerm(clock, runner)
-			order := guavaqueue.Order{Kind: tc.kind, Timeout: time.Second, Sent: clock.Now()}
+			order := guavaorder.Order{Kind: tc.kind, Timeout: time.Second, Sent: clock.Now()}
 			clock.advance(tc.delay)
 			tm.recordCommit(clock.Now().Add(-tc.commitAge))
 			tm.listAsOf.Store(clock.Now().Add(-tc.listAge).UnixNano())
