--- /dev/null
+++ b/guavaevent/guavaevent.go
@@ -0,0 +1,93 @@
+// Package guavaevent describes what a scheduler has decided and the inputs that led to it,
+// for logs and metrics.
+//
+// The package that decides collects events in a Buffer, which its owner empties. A Buffer
+// that nobody empties keeps its first events and counts the others.
+package guavaevent
+
+import (
+	"time"
+
+	"guavascale.example"
+)
+
+type (
+	// Kind is the type of an event: a decision or a change of the known
+	// state.
+	Kind string
+
+	// Event describes a decision and the inputs that led to it, for logs.
+	Event struct {
+		Kind       Kind
+		Submission string
+		// Run is the zero value for events about a submission or a worker. Its Attempt is 0
+		// if only an earlier owner knows it.
+		Run    guavascale.Run
+		Worker guavascale.WorkerID
+		// Trial is set for the start of a task under which workers may have crashed. Value
+		// is their number.
+		Trial bool
+		// Outcome is the result of the decision, Reason the reason for it.
+		Outcome string
+		Reason  string
+		// Age is the age of the input: the time since the submission was accepted,
+		// since the run started, since the worker's last response, or since the
+		// worker's measurements were last used; -1 if unknown.
+		Age time.Duration
+		// Value is the measurement behind the decision, such as a latency as a
+		// fraction of its target, a percentage of progress, or a count of failures
+		// or runs. For FillerPreempted, Straggler and Crash, Reason names
+		// it. For PairExcluded it is the latency, and Reason names the service
+		// kind, the filler kind and all filler kinds on the worker.
+		Value float64
+	}
+
+	// Buffer holds events until they are taken. The zero value is empty.
+	Buffer struct {
+		events  []Event
+		dropped int
+	}
+)
+
+const (
+	Accepted        Kind = "Accepted"
+	Ended           Kind = "SubmissionEnded"
+	Withdrawn       Kind = "Withdrawn"
+	Start           Kind = "Start"
+	Refused         Kind = "StartRefused"
+	RunEnded        Kind = "RunEnded"
+	Stop            Kind = "Stop"
+	Adopted         Kind = "RunAdopted"
+	Lost            Kind = "RunLost"
+	FillerPreempted Kind = "FillerSetAside"
+	Straggler       Kind = "Straggler"
+	Worker          Kind = "Worker"
+	// Crash is a worker that has probably crashed under a run.
+	Crash Kind = "WorkerCrashed"
+	// PairExcluded is a filler kind that may no longer run beside a service kind.
+	PairExcluded Kind = "PairExcluded"
+	// SetAside is a submission, or rows that are not of a submission, that the store
+	// refuses for good or that can't be encoded. Reason names the rows, Value their size.
+	SetAside Kind = "SetAside"
+	// RowCut is a row of progress that lacks the details in Reason.
+	RowCut Kind = "RowCut"
+)
+
+// maxEvents bounds the number of buffered events.
+const maxEvents = 4096
+
+// Emit adds an event, or counts it if the buffer is full.
+func (b *Buffer) Emit(ev Event) {
+	if len(b.events) >= maxEvents {
+		b.dropped++
+		return
+	}
+	b.events = append(b.events, ev)
+}
+
+// Take returns the events since the last call and the number of those that were dropped.
+func (b *Buffer) Take() (events []Event, dropped int) {
+	events, dropped = b.events, b.dropped
+	b.events, b.dropped = b.events[:0:0], 0
+	return events, dropped
+}
--- a/guavaqueue/aside.go
+++ b/guavaqueue/aside.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavaevent"
 	"guavascale.example/guavarow"
 )
 
@@ -25,7 +26,7 @@
 	switch {
 	case b.shared > 0 && len(b.subs) == 0:
 		e.sharedRetryAt = now.Add(sharedRowRetry)
-		e.emit(Event{Kind: EventSetAside, Outcome: "SharedRows", Reason: guavarow.Describe(b.Writes, cause), Value: float64(b.bytes)})
+		e.emit(guavaevent.Event{Kind: guavaevent.SetAside, Outcome: "SharedRows", Reason: guavarow.Describe(b.Writes, cause), Value: float64(b.bytes)})
 	case b.shared > 0:
 		e.sharedRowsRefused = true
 		e.refusals.Suspect(b.subs...)
@@ -36,7 +37,7 @@
 
 // setAside sets a submission aside whose row is refused or can't be encoded.
 func (e *Engine) setAside(now, lastCommit time.Time, s *submission, reason string, bytes int) {
-	e.emit(Event{Kind: EventSetAside, Submission: s.ID, Outcome: "Submission", Reason: reason, Value: float64(bytes), Age: now.Sub(s.accepted)})
+	e.emit(guavaevent.Event{Kind: guavaevent.SetAside, Submission: s.ID, Outcome: "Submission", Reason: reason, Value: float64(bytes), Age: now.Sub(s.accepted)})
 	if !s.durable {
 		// The store has nothing of it, and never will.
 		e.dirty = slices.DeleteFunc(e.dirty, func(o *submission) bool { return o == s })
@@ -72,5 +73,5 @@
 // written unless it is cancelled.
 func (e *Engine) setUnreadable(now time.Time, s *submission, err error) {
 	s.started, s.binding = true, e.bindings.Bind(&s.Submission)
-	e.emit(Event{Kind: EventSetAside, Submission: s.ID, Outcome: "Unreadable", Reason: err.Error(), Age: now.Sub(s.accepted)})
+	e.emit(guavaevent.Event{Kind: guavaevent.SetAside, Submission: s.ID, Outcome: "Unreadable", Reason: err.Error(), Age: now.Sub(s.accepted)})
 }
--- a/guavaqueue/aside_test.go
+++ b/guavaqueue/aside_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
+	"guavascale.example/guavaevent"
 	"guavascale.example/guavalimit"
 	"guavascale.example/guavarow"
 )
@@ -19,7 +20,7 @@
 var errTooLarge = errors.New("status 413")
 
 // events returns the reasons of the events of a kind about a submission.
-func (f *fleet) events(kind EventKind, id string) []string {
+func (f *fleet) events(kind guavaevent.Kind, id string) []string {
 	var reasons []string
 	events, _ := f.engine.Events()
 	for _, ev := range events {
@@ -45,7 +46,7 @@
 		f.submit(batchOf(fmt.Sprintf("s%02d", i), 2, 1, 200*time.Millisecond))
 	}
 	f.advance(2 * time.Second)
-	reasons := f.events(EventSetAside, "bad")
+	reasons := f.events(guavaevent.SetAside, "bad")
 	require.NotEmpty(t, reasons)
 	assert.Contains(t, reasons[0], "Progress/bad (")
 	assert.Contains(t, reasons[0], errTooLarge.Error())
@@ -84,7 +85,7 @@
 			f.refuses = isProgressOfBad
 			f.submit(batchOf("bad", 6, 2, 500*time.Millisecond))
 			f.advance(1500 * time.Millisecond)
-			require.NotEmpty(t, f.events(EventSetAside, "bad"))
+			require.NotEmpty(t, f.events(guavaevent.SetAside, "bad"))
 			cancelled := false
 			if tc.cancel {
 				f.engine.Cancel(f.now, "bad", func(guavascale.SubmissionState) { cancelled = true })
@@ -126,7 +127,7 @@
 	f.submit(batchOf("a", 2, 2, 200*time.Millisecond))
 	f.advance(3 * time.Second)
 	assert.Equal(t, guavascale.SubmissionCompleted, stateOrUnknown(f.engine.State("a")))
-	assert.NotEmpty(t, f.events(EventSetAside, ""))
+	assert.NotEmpty(t, f.events(guavaevent.SetAside, ""))
 	assert.Less(t, f.refused, 8, "the row is not repeated all the time")
 	f.refuses = nil
 	f.advance(2 * time.Second)
@@ -150,7 +151,7 @@
 			f.advance(time.Second)
 			f.rows[tc.key] = []byte(tc.value)
 			f.replaceOwner()
-			require.NotEmpty(t, f.events(EventSetAside, "a"))
+			require.NotEmpty(t, f.events(guavaevent.SetAside, "a"))
 			starts := f.starts
 			f.advance(10 * time.Second)
 			assert.Equal(t, guavascale.SubmissionCompleted, stateOrUnknown(f.engine.State("b")))
--- a/guavaqueue/crashes.go
+++ b/guavaqueue/crashes.go
@@ -6,6 +6,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavacrash"
+	"guavascale.example/guavaevent"
 )
 
 const (
@@ -57,8 +58,8 @@
 		if !v.Charged {
 			reason, n = "workers ended, with the task perhaps started", t.record.Doubts
 		}
-		e.emit(Event{
-			Kind: EventCrash, Submission: s.ID, Run: guavascale.Run{Task: t.ref(), Attempt: v.Attempt}, Worker: v.Worker,
+		e.emit(guavaevent.Event{
+			Kind: guavaevent.Crash, Submission: s.ID, Run: guavascale.Run{Task: t.ref(), Attempt: v.Attempt}, Worker: v.Worker,
 			Reason: reason, Value: float64(n), Age: now.Sub(s.accepted),
 		})
 		if v.GivenUp && !s.state.Ended() {
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -35,6 +35,7 @@
 	"guavascale.example/guavabinding"
 	"guavascale.example/guavaclock"
 	"guavascale.example/guavacrash"
+	"guavascale.example/guavaevent"
 	"guavascale.example/guavamissing"
 	"guavascale.example/guavaobjective"
 	"guavascale.example/guavaorder"
@@ -125,11 +126,8 @@
 		// scheduling pass.
 		excludedServicesByFiller map[string]map[string]bool
 		// ranked is a buffer that rankWorkers reuses.
-		ranked ranking
-		// events holds the events that the next call of Events returns, and
-		// droppedEvents counts those that did not fit.
-		events              []Event
-		droppedEvents       int
+		ranked              ranking
+		events              guavaevent.Buffer
 		kindsWrittenAt      time.Time
 		stragglersCheckedAt time.Time
 		vacatedAt           time.Time
--- a/guavaqueue/interfere.go
+++ b/guavaqueue/interfere.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavaevent"
 	"guavascale.example/guavaorder"
 )
 
@@ -92,8 +93,8 @@
 		switch {
 		case ratio > disturbedRatio && notFalling:
 			for _, filler := range e.interference.RecordDisturbed(now, l.Kind, settled) {
-				e.emit(Event{
-					Kind: EventPairExcluded, Submission: worst.id.Task.Submission, Run: worst.id, Worker: w.ID,
+				e.emit(guavaevent.Event{
+					Kind: guavaevent.PairExcluded, Submission: worst.id.Task.Submission, Run: worst.id, Worker: w.ID,
 					Reason: fmt.Sprintf("%s/%s of %v", l.Kind, filler, settled), Value: ratio, Age: now.Sub(worst.startedAt),
 				})
 			}
@@ -245,8 +246,8 @@
 }
 
 func (e *Engine) emitPreempted(now time.Time, r *run) {
-	e.emit(Event{
-		Kind: EventFillerPreempted, Submission: r.id.Task.Submission, Run: r.id, Worker: r.worker.ID,
+	e.emit(guavaevent.Event{
+		Kind: guavaevent.FillerPreempted, Submission: r.id.Task.Submission, Run: r.id, Worker: r.worker.ID,
 		Reason: "latency of a service in parts of its target", Value: r.worker.worstLatencyRatio, Age: now.Sub(r.worker.observedAt),
 	})
 }
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -6,6 +6,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavacrash"
+	"guavascale.example/guavaevent"
 	"guavascale.example/guavaorder"
 )
 
@@ -239,8 +240,8 @@
 func (e *Engine) orderStart(now time.Time, r *run) {
 	t, w := r.task, r.worker
 	r.startedAt, r.heard = now, w.heard(now)
-	e.emit(Event{
-		Kind: EventStart, Submission: t.step.sub.ID, Run: r.id, Worker: w.ID,
+	e.emit(guavaevent.Event{
+		Kind: guavaevent.Start, Submission: t.step.sub.ID, Run: r.id, Worker: w.ID,
 		Reason: t.step.urgency.String(), Age: now.Sub(t.step.sub.accepted),
 		Trial: t.record.OnTrial(), Value: float64(t.record.Crashes + t.record.Doubts),
 	})
@@ -273,7 +274,7 @@
 	}
 	r.phase, r.confirmedAt = phaseStopping, time.Time{}
 	r.worker.unsettledRuns++
-	e.emitRun(now, EventStop, r, string(r.task.step.sub.state), "")
+	e.emitRun(now, guavaevent.Stop, r, string(r.task.step.sub.state), "")
 	e.sendStop(now, r)
 }
 
@@ -430,7 +431,7 @@
 		return
 	}
 	w := r.worker
-	e.emitRun(now, EventRefused, r, string(refusal), "")
+	e.emitRun(now, guavaevent.Refused, r, string(refusal), "")
 	switch refusal {
 	case guavascale.RefusedCapacity:
 		w.backoffUntil = now.Add(noRoomBackoff)
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -6,6 +6,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavabatch"
+	"guavascale.example/guavaevent"
 	"guavascale.example/guavarow"
 )
 
@@ -131,7 +132,7 @@
 func (e *Engine) add(b *Batch, key string, encode func() ([]byte, error)) {
 	data, err := encode()
 	if err != nil {
-		e.emit(Event{Kind: EventSetAside, Outcome: "SharedRows", Reason: err.Error()})
+		e.emit(guavaevent.Event{Kind: guavaevent.SetAside, Outcome: "SharedRows", Reason: err.Error()})
 		return
 	}
 	b.add(key, data)
@@ -166,7 +167,7 @@
 	e.fleetDirty = left > 0
 	if left > 0 {
 		e.sharedRetryAt = now.Add(sharedRowRetry)
-		e.emit(Event{Kind: EventSetAside, Outcome: "Workers", Reason: fmt.Sprintf("the rows of the fleet are full: %v", err), Value: float64(left)})
+		e.emit(guavaevent.Event{Kind: guavaevent.SetAside, Outcome: "Workers", Reason: fmt.Sprintf("the rows of the fleet are full: %v", err), Value: float64(left)})
 	}
 	if err != nil {
 		return
@@ -199,7 +200,7 @@
 			return err
 		}
 		if cut != (guavarow.Cut{}) && s.cut == (guavarow.Cut{}) {
-			e.emit(Event{Kind: EventRowCut, Submission: s.ID, Reason: fmt.Sprintf("%+v", cut), Value: float64(cut.Checkpoints)})
+			e.emit(guavaevent.Event{Kind: guavaevent.RowCut, Submission: s.ID, Reason: fmt.Sprintf("%+v", cut), Value: float64(cut.Checkpoints)})
 		}
 		s.cut = cut
 	}
@@ -274,7 +275,7 @@
 			continue
 		}
 		n++
-		e.emit(Event{Kind: EventWithdrawn, Submission: s.ID, Reason: "commits fail", Age: since.Sub(s.accepted)})
+		e.emit(guavaevent.Event{Kind: guavaevent.Withdrawn, Submission: s.ID, Reason: "commits fail", Age: since.Sub(s.accepted)})
 		e.drop(s)
 	}
 	clear(e.dirty[len(kept):])
@@ -305,7 +306,7 @@
 		}
 		if !s.durable {
 			s.durable, s.row = true, nil
-			e.emit(Event{Kind: EventAccepted, Submission: s.ID, Outcome: s.Queue, Age: now.Sub(s.accepted)})
+			e.emit(guavaevent.Event{Kind: guavaevent.Accepted, Submission: s.ID, Outcome: s.Queue, Age: now.Sub(s.accepted)})
 			if !s.state.Ended() {
 				e.startDueOccurrences(now, s)
 			}
--- a/guavaqueue/stragglers.go
+++ b/guavaqueue/stragglers.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"guavascale.example/guavaevent"
 )
 
 // Assumed workload: some workers slow down by a factor of four to eight or stop
@@ -128,8 +130,8 @@
 	if other == nil || other == w {
 		return
 	}
-	e.emit(Event{
-		Kind: EventStraggler, Submission: t.step.sub.ID, Run: r.id, Worker: w.ID,
+	e.emit(guavaevent.Event{
+		Kind: guavaevent.Straggler, Submission: t.step.sub.ID, Run: r.id, Worker: w.ID,
 		Reason: "percent done", Value: float64(r.percent), Age: now.Sub(r.startedAt),
 	})
 	w.failures++
--- a/guavaqueue/submit.go
+++ b/guavaqueue/submit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"guavascale.example"
+	"guavascale.example/guavaevent"
 	"guavascale.example/guavalimit"
 	"guavascale.example/guavarow"
 )
@@ -197,7 +198,7 @@
 // end sets the final state of a submission and stops its runs.
 func (e *Engine) end(now time.Time, s *submission, state guavascale.SubmissionState) {
 	s.state, s.ended = state, now
-	e.emit(Event{Kind: EventEnded, Submission: s.ID, Outcome: string(state), Age: now.Sub(s.accepted)})
+	e.emit(guavaevent.Event{Kind: guavaevent.Ended, Submission: s.ID, Outcome: string(state), Age: now.Sub(s.accepted)})
 	delete(e.scheduled, s)
 	for _, st := range s.steps {
 		for _, t := range st.tasks {
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -7,6 +7,7 @@
 	"guavascale.example"
 	"guavascale.example/guavaclock"
 	"guavascale.example/guavacrash"
+	"guavascale.example/guavaevent"
 )
 
 const (
@@ -250,7 +251,7 @@
 		// has no bound on failures, and no other run of it is left.
 		t.inherited = false
 	}
-	e.emitRun(now, EventAdopted, r, "", "")
+	e.emitRun(now, guavaevent.Adopted, r, "", "")
 	if !wanted {
 		e.stop(now, r)
 	}
@@ -312,8 +313,8 @@
 			e.recordFillerEnd(now, t.step.spec.Kind, w)
 		}
 	}
-	e.emit(Event{
-		Kind: EventRunEnded, Submission: s.ID, Run: end.Run, Worker: w.ID,
+	e.emit(guavaevent.Event{
+		Kind: guavaevent.RunEnded, Submission: s.ID, Run: end.Run, Worker: w.ID,
 		Outcome: string(end.Outcome), Age: age, Value: float64(len(t.failed)),
 	})
 	if t.done || s.state.Ended() {
@@ -413,7 +414,7 @@
 // markLost removes a run that can't be running any more and queues its task
 // again.
 func (e *Engine) markLost(now time.Time, r *run, reason string) {
-	e.emitRun(now, EventLost, r, "", reason)
+	e.emitRun(now, guavaevent.Lost, r, "", reason)
 	e.removeRun(r)
 	e.requeue(r.task.step)
 }
--- a/guavascheduler/decisions.go
+++ b/guavascheduler/decisions.go
@@ -7,7 +7,7 @@
 
 	"github.com/rs/zerolog"
 
-	"guavascale.example/guavaqueue"
+	"guavascale.example/guavaevent"
 )
 
 // decisionLog limits the rate of log lines per budget, which is that of a kind of decision
@@ -80,7 +80,7 @@
 	}
 }
 
-func (t *term) logEvent(now time.Time, ev *guavaqueue.Event) {
+func (t *term) logEvent(now time.Time, ev *guavaevent.Event) {
 	budget := string(ev.Kind)
 	if ev.Trial {
 		// The starts of a busy second must not suppress those that explain a crash.
--- a/guavascheduler/decisions_test.go
+++ b/guavascheduler/decisions_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"guavascale.example"
-	"guavascale.example/guavaqueue"
+	"guavascale.example/guavaevent"
 )
 
 // Guards against a crash that the log doesn't explain: the start before it was left out
@@ -22,10 +22,10 @@
 	tm := &term{scheduler: s}
 	now := time.Unix(1000, 0)
 	for i := range 3 * linesPerSecond {
-		tm.logEvent(now, &guavaqueue.Event{Kind: guavaqueue.EventStart, Submission: fmt.Sprint("a", i)})
+		tm.logEvent(now, &guavaevent.Event{Kind: guavaevent.Start, Submission: fmt.Sprint("a", i)})
 	}
 	run := guavascale.Run{Task: guavascale.TaskRef{Submission: "deadly"}, Attempt: 2}
-	tm.logEvent(now, &guavaqueue.Event{Kind: guavaqueue.EventStart, Submission: "deadly", Run: run, Trial: true, Value: 1})
+	tm.logEvent(now, &guavaevent.Event{Kind: guavaevent.Start, Submission: "deadly", Run: run, Trial: true, Value: 1})
 	assert.Equal(t, linesPerSecond+1, strings.Count(out.String(), "\n"))
 	assert.Contains(t, out.String(), `"Submission":"deadly","Task":"0.0.0","Attempt":2`)
 }
--- a/guavascheduler/meters.go
+++ b/guavascheduler/meters.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"guavascale.example"
+	"guavascale.example/guavaevent"
 	"guavascale.example/guavaorder"
 	"guavascale.example/guavaqueue"
 )
@@ -62,18 +63,18 @@
 	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxDuration.Microseconds()))
 }
 
-func (m *meters) event(ev *guavaqueue.Event) {
+func (m *meters) event(ev *guavaevent.Event) {
 	name := "queue." + string(ev.Kind)
-	if ev.Outcome != "" && ev.Kind != guavaqueue.EventAccepted {
+	if ev.Outcome != "" && ev.Kind != guavaevent.Accepted {
 		name += "." + ev.Outcome
 	}
 	m.count(name, 1)
 	switch ev.Kind {
-	case guavaqueue.EventAccepted:
+	case guavaevent.Accepted:
 		m.recordDuration("submission.accept", ev.Age)
-	case guavaqueue.EventStart:
+	case guavaevent.Start:
 		m.recordDuration("submission.age-at-start", ev.Age)
-	case guavaqueue.EventEnded:
+	case guavaevent.Ended:
 		m.recordDuration("submission.duration", ev.Age)
 	}
 }
