guavastate: statistics, dumps and backlogs, out of guavaqueue

What an engine tells of its state is for logs, metrics and operators. Moved, with the JSON names as they were; how often a size fits into free resources is a method of guavascale.Resources.

--- a/guavaqueue/backlog_test.go
+++ b/guavaqueue/backlog_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
+	"guavascale.example/guavastate"
 )
 
 // Guards against work that waits beside free room without a trace of what keeps it off
@@ -19,19 +20,19 @@
 		milliCores  int64
 		tailLatency time.Duration
 		excluded    bool
-		want        []Backlog
+		want        []guavastate.Backlog
 	}{
 		"the services would be disturbed": {
 			milliCores: 1600, tailLatency: 5 * time.Millisecond, excluded: true,
-			want: []Backlog{{Queue: "slow", Kind: "filler", Class: guavascale.ClassBatch, Tasks: 2, Room: 8, Excluded: 4}},
+			want: []guavastate.Backlog{{Queue: "slow", Kind: "filler", Class: guavascale.ClassBatch, Tasks: 2, Room: 8, Excluded: 4}},
 		},
 		"the services are near their targets": {
 			milliCores: 1600, tailLatency: 17 * time.Millisecond,
-			want: []Backlog{{Queue: "slow", Kind: "filler", Class: guavascale.ClassBatch, Tasks: 2, Room: 8, Disturbed: 4}},
+			want: []guavastate.Backlog{{Queue: "slow", Kind: "filler", Class: guavascale.ClassBatch, Tasks: 2, Room: 8, Disturbed: 4}},
 		},
 		"no room for the work twice over": {
 			milliCores: 12_800, tailLatency: 5 * time.Millisecond, excluded: true,
-			want: []Backlog{},
+			want: []guavastate.Backlog{},
 		},
 	}
 	for name, c := range cases {
--- a/guavaqueue/dump.go
+++ b/guavaqueue/dump.go
@@ -5,65 +5,15 @@
 	"strings"
 	"time"
 
-	"guavascale.example"
-)
-
-type (
-	// Dump is a human-readable snapshot of an engine's state.
-	Dump struct {
-		Token          uint64
-		CatalogVersion uint64
-		Stats          Stats
-		// MissingWorkers holds the workers of an earlier owner that have not
-		// answered. Tasks that may run there wait for at most MissingForMs.
-		MissingWorkers []guavascale.WorkerID `json:",omitempty"`
-		MissingForMs   int64                 `json:",omitempty"`
-		Apart          []string              `json:",omitempty"`
-		Backlogs       []Backlog             `json:",omitempty"`
-		Workers        []WorkerDump
-		Waiting        []StepDump
-	}
-
-	// WorkerDump is the state of a worker in a Dump.
-	WorkerDump struct {
-		ID      guavascale.WorkerID
-		Zone    guavascale.Zone
-		Listed  bool
-		Known   bool
-		Leaving bool
-		// HeardMs is the time since the worker's last response; -1 without one.
-		HeardMs int64
-		// LeaseMs is the longest time until the worker's lease ends.
-		LeaseMs int64
-		Runs    int
-		Used    guavascale.Resources
-		// Seen is the number of the last run end that was applied, Durable that
-		// of the last one that is durable.
-		Seen    uint64
-		Durable uint64
-		Misses  int
-	}
-
-	// StepDump is the state of a step with tasks to place in a Dump.
-	StepDump struct {
-		Submission string
-		Occurrence int
-		Step       int
-		Tasks      int
-		// Reason is why the tasks wait.
-		Reason string
-		// LateMs is the time since the objective was missed; it is negative before
-		// that.
-		LateMs int64
-	}
+	"guavascale.example/guavastate"
 )
 
 // maxDumpSteps bounds the number of waiting steps in a dump.
 const maxDumpSteps = 500
 
 // Dump returns a snapshot of the engine's state.
-func (e *Engine) Dump(now time.Time) Dump {
-	d := Dump{Token: e.Token, Stats: e.Stats(now), Apart: e.Apart(), Backlogs: e.Backlogs(now)}
+func (e *Engine) Dump(now time.Time) guavastate.Dump {
+	d := guavastate.Dump{Token: e.Token, Stats: e.Stats(now), Apart: e.Apart(), Backlogs: e.Backlogs(now)}
 	if e.catalog != nil {
 		d.CatalogVersion = e.catalog.Version
 	}
@@ -73,7 +23,7 @@
 	}
 	slices.Sort(d.MissingWorkers)
 	for _, w := range e.workers {
-		wd := WorkerDump{
+		wd := guavastate.Worker{
 			ID: w.ID, Zone: w.Zone, Listed: w.listed, Known: w.known, Leaving: w.Leaving, HeardMs: -1,
 			Runs: len(w.runs), Used: w.used, Seen: w.seen, Durable: w.acked, Misses: w.failedHolds,
 		}
@@ -83,12 +33,12 @@
 		}
 		d.Workers = append(d.Workers, wd)
 	}
-	slices.SortFunc(d.Workers, func(a, b WorkerDump) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(d.Workers, func(a, b guavastate.Worker) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	for _, st := range e.readySteps {
 		if len(d.Waiting) >= maxDumpSteps {
 			break
 		}
-		d.Waiting = append(d.Waiting, StepDump{
+		d.Waiting = append(d.Waiting, guavastate.Step{
 			Submission: st.sub.ID, Occurrence: st.occurrence, Step: st.index, Tasks: st.waiting,
 			Reason: e.waitingReason(now, st), LateMs: now.Sub(st.latest).Milliseconds(),
 		})
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -42,6 +42,7 @@
 	"guavascale.example/guavapair"
 	"guavascale.example/guavarefusal"
 	"guavascale.example/guavarow"
+	"guavascale.example/guavastate"
 )
 
 type (
@@ -159,29 +160,6 @@
 		EndsPerReport int
 	}
 
-	// Stats holds counts of an engine's state for logs and metrics.
-	Stats struct {
-		// Submissions counts all submissions, Open those that have not ended.
-		Submissions int
-		Open        int
-		// Waiting counts the tasks that are ready to start, WaitingFillers the
-		// fillers among them, and Runs the runs that are or may be active.
-		Waiting        int
-		WaitingFillers int
-		Runs           int
-		Workers        int
-		// Known counts the workers that have answered this owner, Usable those
-		// that may get starts now.
-		Known  int
-		Usable int
-		// Capacity is the total capacity of the usable workers, Used the part in
-		// use by runs, and Fillers the declared processors of the fillers on
-		// them, in thousandths of a core.
-		Capacity guavascale.Resources
-		Used     guavascale.Resources
-		Fillers  int64
-	}
-
 	submission struct {
 		guavascale.Submission
 		// binding is nil if an earlier owner has ended the submission.
@@ -430,8 +408,8 @@
 )
 
 // Stats returns the current counts.
-func (e *Engine) Stats(now time.Time) Stats {
-	s := Stats{Submissions: len(e.subs), Workers: len(e.workers)}
+func (e *Engine) Stats(now time.Time) guavastate.Stats {
+	s := guavastate.Stats{Submissions: len(e.subs), Workers: len(e.workers)}
 	for _, sub := range e.subs {
 		if !sub.state.Ended() {
 			s.Open++
--- a/guavascheduler/dump.go
+++ b/guavascheduler/dump.go
@@ -6,7 +6,7 @@
 	"io"
 	"time"
 
-	"guavascale.example/guavaqueue"
+	"guavascale.example/guavastate"
 )
 
 // Dump is the state of a daemon for diagnosis.
@@ -21,7 +21,7 @@
 	// CommitAgeMs is the age of the last commit and Shard the state of the
 	// shard. Only the owner sets them.
 	CommitAgeMs int64            `json:",omitempty"`
-	Shard       *guavaqueue.Dump `json:",omitempty"`
+	Shard       *guavastate.Dump `json:",omitempty"`
 }
 
 // dumpWait is how long to wait for the state from the goroutine of the term.
@@ -37,7 +37,7 @@
 	if t := s.term.Load(); t != nil {
 		now := s.Clock.Now()
 		d.CommitAgeMs = t.commitAge(now).Milliseconds()
-		ch := make(chan guavaqueue.Dump, 1)
+		ch := make(chan guavastate.Dump, 1)
 		ctx, cancel := context.WithTimeout(ctx, dumpWait)
 		defer cancel()
 		if t.post(func() { ch <- t.engine.Dump(now) }) {
--- a/guavascheduler/meters.go
+++ b/guavascheduler/meters.go
@@ -14,7 +14,7 @@
 	"guavascale.example"
 	"guavascale.example/guavaevent"
 	"guavascale.example/guavaorder"
-	"guavascale.example/guavaqueue"
+	"guavascale.example/guavastate"
 )
 
 // meters holds the counters, gauges and latency histograms of a daemon. The zero
@@ -116,7 +116,7 @@
 	}
 }
 
-func (m *meters) stats(s guavaqueue.Stats) {
+func (m *meters) stats(s guavastate.Stats) {
 	m.gauge("shard.open", int64(s.Open))
 	m.gauge("shard.waiting", int64(s.Waiting))
 	m.gauge("shard.runs", int64(s.Runs))
--- a/resources.go
+++ b/resources.go
@@ -28,3 +28,15 @@
 
 // IsZero reports whether all fields are 0.
 func (r Resources) IsZero() bool { return r == Resources{} }
+
+// Count returns how many times a size fits into r, at most limit.
+func (r Resources) Count(size Resources, limit int64) int64 {
+	for _, d := range [...]struct{ free, each int64 }{
+		{r.MilliCores, size.MilliCores}, {r.MemoryMB, size.MemoryMB}, {r.Accelerators, size.Accelerators},
+	} {
+		if d.each > 0 {
+			limit = min(limit, max(d.free, 0)/d.each)
+		}
+	}
+	return limit
+}
