guavarank, guavastraggler: out of guavaqueue

The choice of the best of many workers is a heap that knows nothing of workers, and which run straggles is a function of its progress and of what others took. Moved, with the window over a pool (guavavacancy) and the permissions of a pass (guavaorder).

--- a/guavaorder/guavaorder.go
+++ b/guavaorder/guavaorder.go
@@ -34,6 +34,22 @@
 		Sent time.Time
 	}
 
+	// Permissions state what the owner may do in a scheduling pass.
+	Permissions struct {
+		// Act is set if the owner may give orders.
+		Act bool
+		// Start is set if the owner may also start runs, which requires a
+		// recent list of workers.
+		Start bool
+		// LeasesUntil is the time by which all leases that the owner grants now
+		// must have ended; the zero value means no limit.
+		LeasesUntil time.Time
+		// Sole is set if it is certain that no other daemon owns the shard.
+		// Otherwise another owner may have extended leases, so no lease counts
+		// as expired.
+		Sole bool
+	}
+
 	// Outcome is the result of an order.
 	Outcome struct {
 		// Err is nil, a RunError or an UnavailableError.
--- a/guavaqueue/drain.go
+++ b/guavaqueue/drain.go
@@ -19,17 +19,8 @@
 		}
 		spec := r.task.step.spec
 		deadline := w.leavesAt.Add(-e.Limits.StopGrace - drainMargin)
-		if spec.Service || spec.Checkpoints && now.After(deadline) && r.remaining(now) > drainMargin {
+		if spec.Service || spec.Checkpoints && now.After(deadline) && r.progress(now).Remaining() > drainMargin {
 			e.stop(now, r)
 		}
 	}
 }
-
-// remaining estimates the remaining duration of a run from its progress so far.
-func (r *run) remaining(now time.Time) time.Duration {
-	elapsed := now.Sub(r.startedAt)
-	if r.percent <= 0 {
-		return max(r.task.step.spec.Estimate-elapsed, 0)
-	}
-	return elapsed * time.Duration(100-r.percent) / time.Duration(r.percent)
-}
--- a/guavaqueue/fleet_test.go
+++ b/guavaqueue/fleet_test.go
@@ -280,7 +280,7 @@
 	f.restartCrashed()
 	f.endRuns()
 	f.startDelayed()
-	for _, o := range f.engine.Orders(f.now, Permissions{Act: true, Start: !f.listIsStale, Sole: !f.otherOwnerPossible, LeasesUntil: f.lastCommit.Add(testLeaseBound)}) {
+	for _, o := range f.engine.Orders(f.now, guavaorder.Permissions{Act: true, Start: !f.listIsStale, Sole: !f.otherOwnerPossible, LeasesUntil: f.lastCommit.Add(testLeaseBound)}) {
 		f.deliver(o)
 	}
 	f.answerHolds()
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -40,9 +40,12 @@
 	"guavascale.example/guavaobjective"
 	"guavascale.example/guavaorder"
 	"guavascale.example/guavapair"
+	"guavascale.example/guavarank"
 	"guavascale.example/guavarefusal"
 	"guavascale.example/guavarow"
 	"guavascale.example/guavastate"
+	"guavascale.example/guavastraggler"
+	"guavascale.example/guavavacancy"
 )
 
 type (
@@ -127,7 +130,7 @@
 		// scheduling pass.
 		excludedServicesByFiller map[string]map[string]bool
 		// ranked is a buffer that rankWorkers reuses.
-		ranked              ranking
+		ranked              guavarank.Ranking[*worker]
 		events              guavaevent.Buffer
 		kindsWrittenAt      time.Time
 		stragglersCheckedAt time.Time
@@ -219,8 +222,7 @@
 		queued  bool
 		// perWorker counts the runs on each worker.
 		perWorker map[guavascale.WorkerID]int
-		// durations holds the durations of finished runs, shortest first.
-		durations []time.Duration
+		durations guavastraggler.Durations
 		// urgency, priority and latest are the sort key of waiting steps.
 		urgency  guavaobjective.Urgency
 		priority int
@@ -313,8 +315,8 @@
 		// listed counts the listed workers, spare those without services on which
 		// services may still be started.
 		listed, spare int
-		// windowStart is the index in candidates at which the next window begins.
-		windowStart int
+		// window is the part of candidates among which services move.
+		window guavavacancy.Window
 	}
 
 	worker struct {
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -10,24 +10,6 @@
 	"guavascale.example/guavaorder"
 )
 
-type (
-	// Permissions state what the owner may do in a scheduling pass.
-	Permissions struct {
-		// Act is set if the owner may give orders.
-		Act bool
-		// Start is set if the owner may also start runs, which requires a
-		// recent list of workers.
-		Start bool
-		// LeasesUntil is the time by which all leases that the owner grants now
-		// must have ended; the zero value means no limit.
-		LeasesUntil time.Time
-		// Sole is set if it is certain that no other daemon owns the shard.
-		// Otherwise another owner may have extended leases, so no lease counts
-		// as expired.
-		Sole bool
-	}
-)
-
 const (
 	// orderTimeout bounds the calls for starts, stops and paces. A healthy
 	// worker answers within a few milliseconds.
@@ -70,7 +52,7 @@
 
 // Orders runs a scheduling pass and returns the orders to send. Without permission
 // to act, the pass only handles due occurrences and expired leases.
-func (e *Engine) Orders(now time.Time, may Permissions) []guavaorder.Order {
+func (e *Engine) Orders(now time.Time, may guavaorder.Permissions) []guavaorder.Order {
 	for s := range e.scheduled {
 		if !s.state.Ended() {
 			e.startDueOccurrences(now, s)
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -8,6 +8,7 @@
 	"guavascale.example"
 	"guavascale.example/guavabinding"
 	"guavascale.example/guavaobjective"
+	"guavascale.example/guavarank"
 	"guavascale.example/guavarefusal"
 )
 
@@ -96,7 +97,7 @@
 		e.placeGang(now, st, q)
 		return
 	}
-	var ranked *ranking
+	var ranked *guavarank.Ranking[*worker]
 	recordable := st.recordableStarts()
 	for _, t := range st.tasks {
 		if st.waiting == 0 {
@@ -122,7 +123,7 @@
 			if ranked == nil {
 				ranked = e.rankWorkers(now, st, q)
 			}
-			w = ranked.best(e, now, st)
+			w, _ = ranked.Best()
 			e.recordChoice(now, st, w)
 		}
 		switch {
@@ -137,6 +138,13 @@
 	}
 }
 
+// rankWorkers returns the ranking for a step. It is valid until the next call.
+func (e *Engine) rankWorkers(now time.Time, st *step, q *guavascale.Queue) *guavarank.Ranking[*worker] {
+	e.ranked.Before = func(a, b *worker) bool { return a.ID < b.ID }
+	e.ranked.Fill(e.pool(q.Service).candidates, func(w *worker) (float64, bool) { return e.rate(now, st, w) })
+	return &e.ranked
+}
+
 // placeGang starts all tasks of a gang step or none.
 func (e *Engine) placeGang(now time.Time, st *step, q *guavascale.Queue) {
 	attempt := int64(0)
--- a/guavaqueue/ranking_test.go
+++ b/guavaqueue/ranking_test.go
@@ -51,7 +51,8 @@
 				ranked := e.rankWorkers(f.now, st, q)
 				for i, tk := range st.tasks {
 					clear(e.fullSizes)
-					want, got := e.choose(f.now, st, q, tk), ranked.best(e, f.now, st)
+					want := e.choose(f.now, st, q, tk)
+					got, _ := ranked.Best()
 					require.Equal(t, want == nil, got == nil, "task %d", i)
 					if want == nil {
 						break
--- a/guavaqueue/recorded_test.go
+++ b/guavaqueue/recorded_test.go
@@ -171,7 +171,7 @@
 	var start *guavaorder.Order
 	for range 3 {
 		f.now = f.now.Add(fleetTick)
-		for _, o := range f.engine.Orders(f.now, Permissions{Act: true, Start: true, Sole: true, LeasesUntil: f.now.Add(testLeaseBound)}) {
+		for _, o := range f.engine.Orders(f.now, guavaorder.Permissions{Act: true, Start: true, Sole: true, LeasesUntil: f.now.Add(testLeaseBound)}) {
 			if o.Kind == guavaorder.Start {
 				start = &o
 			}
--- a/guavaqueue/takeover_test.go
+++ b/guavaqueue/takeover_test.go
@@ -40,7 +40,7 @@
 	f.submit(batchOf("a", 1, 1, time.Second))
 	f.commit()
 	f.now = f.now.Add(fleetTick)
-	for _, o := range f.engine.Orders(f.now, Permissions{Act: true, Start: true, Sole: true}) {
+	for _, o := range f.engine.Orders(f.now, guavaorder.Permissions{Act: true, Start: true, Sole: true}) {
 		if o.Kind == guavaorder.Start {
 			f.engine.Answer(f.now, o, guavaorder.Outcome{Err: errNoAnswer, NotSent: true})
 		}
@@ -139,7 +139,7 @@
 // serving for nine seconds.
 func TestNewOwnerAsksWorkersInTurn(t *testing.T) {
 	f := newFleet(t, 3*maxFirstHolds)
-	may := Permissions{Act: true, Start: true, Sole: true}
+	may := guavaorder.Permissions{Act: true, Start: true, Sole: true}
 	f.now = f.now.Add(fleetTick)
 	orders := f.engine.Orders(f.now, may)
 	assert.Len(t, orders, maxFirstHolds)
--- a/guavaqueue/vacate.go
+++ b/guavaqueue/vacate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"guavascale.example/guavastraggler"
 	"guavascale.example/guavavacancy"
 )
 
@@ -32,7 +33,8 @@
 	}
 	e.vacatedAt = now
 	for p, waiting := range e.waitingFillers(now) {
-		window := p.nextWindow()
+		from, to := p.window.Next(len(p.candidates), vacancyWindow)
+		window := p.candidates[from:to]
 		if len(window) == 0 || movingServices(window) >= maxMoving {
 			continue
 		}
@@ -69,21 +71,6 @@
 	return waiting
 }
 
-// nextWindow returns the candidates among which services move now. The next call returns
-// others, if there are more.
-func (p *pool) nextWindow() []*worker {
-	if len(p.candidates) <= vacancyWindow {
-		return p.candidates
-	}
-	if p.windowStart >= len(p.candidates) {
-		p.windowStart = 0
-	}
-	end := min(p.windowStart+vacancyWindow, len(p.candidates))
-	window := p.candidates[p.windowStart:end]
-	p.windowStart = end
-	return window
-}
-
 // movingServices counts the services that are starting or stopping on the workers.
 func movingServices(workers []*worker) int {
 	n := 0
@@ -140,7 +127,7 @@
 // worker that is silent may have crashed long before its lease ends.
 func (r *run) atWork(now time.Time) bool {
 	w := r.worker
-	return r.phase == phaseRunning && r.percent >= fullProgress && w.failedHolds == 0 && now.Sub(w.reportedAt) < maxReportAge
+	return r.phase == phaseRunning && r.percent >= guavastraggler.FullProgress && w.failedHolds == 0 && now.Sub(w.reportedAt) < maxReportAge
 }
 
 // vacateWorker stops those services of a worker that may stop now. They are placed again
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -324,7 +324,7 @@
 	case guavascale.RunDone:
 		w.failures = 0
 		if r != nil {
-			t.step.recordDuration(age)
+			t.step.durations.Add(age)
 		}
 		e.applyDone(now, t)
 	case guavascale.RunFailed:
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -240,7 +240,7 @@
 			Strs("Apart", t.engine.Apart()).Msg("scheduler: state of the shard")
 		t.reportBacklogs(now)
 	}
-	may := guavaqueue.Permissions{
+	may := guavaorder.Permissions{
 		Act: t.canIssueOrders(now) && !leaving, Start: t.canStartRuns(now), Sole: t.canServeReads(now),
 		LeasesUntil: time.Unix(0, t.lastCommit.Load()).Add(leaseBound),
 	}
--- a/guavavacancy/guavavacancy.go
+++ b/guavavacancy/guavavacancy.go
@@ -189,3 +189,20 @@
 	}
 	return true
 }
+
+// Window walks over a list in parts, so that the cost of a choice doesn't grow with the list.
+// The zero value begins at its start.
+type Window struct{ start int }
+
+// Next returns the bounds of the next part, of up to size of n items.
+func (w *Window) Next(n, size int) (from, to int) {
+	if n <= size {
+		return 0, n
+	}
+	if w.start >= n {
+		w.start = 0
+	}
+	from, to = w.start, min(w.start+size, n)
+	w.start = to
+	return from, to
+}
