guavaqueue: throttled fillers regain their pace

What callers see: fillers that have been throttled to 5% crawl on to their end, twenty times as long, in two cases: the services beside them have left the worker, or the owner has changed.

Cause: paces are raised only while a worker has services to measure; and a pace is an order that the next owner knows nothing of, so that it takes each run that it adopts for one at full pace. Neither is replaced as a straggler: one that is paced down counts as slowed on purpose.

Change: without services, paces rise as beside undisturbed ones. The pace of an adopted filler is unknown until it uses half of its processors or gets a pace; it gets one as soon as the services beside it are undisturbed.

Ruled out: to take every adopted filler for throttled, which would slow down all of them at each takeover; to store paces.

Failed before: TestThrottledFillersRegainTheirPace, both cases (pace 5 after 20 s). The simulated worker's use follows the pace now.

--- a/guavaqueue/drain.go
+++ b/guavaqueue/drain.go
@@ -6,9 +6,9 @@
 // still report the stopped runs.
 const drainMargin = 300 * time.Millisecond
 
-// drain stops runs on a leaving worker so that they continue elsewhere: services at once, and tasks with checkpoints just before the worker leaves if they would
-// not end in time. Other tasks keep running, since stopping them early saves
-// none of their work.
+// drain stops runs on a leaving worker so that they continue elsewhere: services at once,
+// and tasks with checkpoints just before it leaves if they would not end in time. Stopping
+// other tasks early saves none of their work.
 func (e *Engine) drain(now time.Time, w *worker) {
 	if !w.Leaving || w.failedHolds > 0 {
 		return
--- a/guavaqueue/fleet_test.go
+++ b/guavaqueue/fleet_test.go
@@ -558,6 +558,9 @@
 				state.Tail = w.tailLatency
 			} else {
 				state.Used = spec.Size.MilliCores
+				if pace := w.paces[id]; pace > 0 {
+					state.Used = state.Used * int64(pace) / fullPace
+				}
 			}
 			rep.Running = append(rep.Running, state)
 		}
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -298,8 +298,10 @@
 		stopSentAt time.Time
 		percent    int
 		// progressAt is when percent last changed.
-		progressAt  time.Time
-		pace        int
+		progressAt time.Time
+		pace       int
+		// paceUnknown is set while an earlier owner may have set another pace.
+		paceUnknown bool
 		tailLatency time.Duration
 		// lastTailLatency is tailLatency at the previous observation, and underTargetAt the
 		// time of the last one at which the service met its target.
--- a/guavaqueue/interfere.go
+++ b/guavaqueue/interfere.go
@@ -74,10 +74,13 @@
 // observe updates the interference model from a worker's measurements and
 // preempts or throttles fillers where services miss their target.
 func (e *Engine) observe(now time.Time, w *worker) {
-	if w.serviceMilliCores == 0 || now.Sub(w.observedAt) < observeInterval {
+	if now.Sub(w.observedAt) < observeInterval {
+		return
+	}
+	if w.observedAt = now; w.serviceMilliCores == 0 {
+		e.raisePaces(w)
 		return
 	}
-	w.observedAt = now
 	settled := w.settledFillerKinds(now)
 	mayMitigate := now.Sub(w.mitigatedAt) >= settlingTime
 	missed, highest := false, 0.0
@@ -252,16 +255,19 @@
 // most services tolerate.
 func (e *Engine) raisePaces(w *worker) {
 	for _, r := range w.runs {
-		if r.phase != phaseRunning || r.pace == fullPace {
+		spec := r.task.step.spec
+		// A throttled filler uses few of its processors.
+		r.paceUnknown = r.paceUnknown && 2*r.usedMilliCores < spec.Size.MilliCores
+		if r.phase != phaseRunning || !r.paceUnknown && r.pace == fullPace || !spec.Filler {
 			continue
 		}
 		limit := fullPace
 		for _, l := range w.loads() {
-			if l.Class == guavascale.ClassService && e.interference.Suspect(l.Kind, r.task.step.spec.Kind) {
+			if l.Class == guavascale.ClassService && e.interference.Suspect(l.Kind, spec.Kind) {
 				limit = suspectPace
 			}
 		}
-		if pace := min(paceGrowthFactor*r.pace, limit); pace > r.pace {
+		if pace := min(paceGrowthFactor*r.pace, limit); pace > r.pace || r.paceUnknown {
 			e.setPace(r, pace)
 		}
 	}
@@ -271,7 +277,7 @@
 	e.orders = append(e.orders, guavaorder.Order{
 		Kind: guavaorder.Pace, Worker: r.worker.Worker, Run: r.id, Percent: percent, Timeout: orderTimeout,
 	})
-	r.pace = percent
+	r.pace, r.paceUnknown = percent, false
 }
 
 // excluded reports whether a filler kind must not run beside the services of a
--- a/guavaqueue/interfere_test.go
+++ b/guavaqueue/interfere_test.go
@@ -95,3 +95,34 @@
 		}
 	}
 }
+
+// Guards against fillers that stay throttled for good: once the services have left their
+// worker, or under the next owner, which doesn't know their pace.
+func TestThrottledFillersRegainTheirPace(t *testing.T) {
+	for name, end := range map[string]func(f *fleet){
+		"services left": func(f *fleet) { f.engine.Cancel(f.now, "service", func(guavascale.SubmissionState) {}) },
+		"new owner":     func(f *fleet) { f.replaceOwner() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			w := f.workers["w0"]
+			w.info.Capacity = guavascale.Resources{MilliCores: 24_000, MemoryMB: 64_000}
+			w.tailLatency = 5 * time.Millisecond
+			f.listWorkers()
+			s := serviceOf("service", 1)
+			s.Steps[0].Size.MilliCores, s.Steps[0].Kind, s.Steps[0].Target = 3000, "a", 18*time.Millisecond
+			f.submit(s)
+			f.advance(time.Second)
+			f.submit(fillersOf("filler", "kind", 1, time.Minute))
+			f.advance(18 * time.Second)
+			w.tailLatency = 100 * time.Millisecond
+			f.advance(4 * time.Second)
+			run := guavascale.Run{Task: guavascale.TaskRef{Submission: "filler"}, Attempt: 1}
+			require.Equal(t, throttledPace, w.paces[run])
+			end(f)
+			w.tailLatency = 5 * time.Millisecond
+			f.advance(20 * time.Second)
+			assert.Equal(t, fullPace, w.paces[run])
+		})
+	}
+}
--- a/guavaqueue/recorded.go
+++ b/guavaqueue/recorded.go
@@ -15,8 +15,7 @@
 const maxOpenStarts = 100
 
 // mustRecord reports whether a start of the task is stored before it is ordered: workers
-// have perhaps crashed under it, or an earlier owner may have started it, of which no other
-// knows.
+// may have crashed under it, or an earlier owner may have started it.
 func (t *task) mustRecord() bool { return t.record.OnTrial() || t.inherited }
 
 // recordableStarts returns how many more starts of the step may be stored now, so that the
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -243,7 +243,7 @@
 		return nil
 	}
 	t.attempt = max(t.attempt, id.Attempt)
-	r := &run{id: id, task: t, worker: w, phase: phaseRunning, confirmedAt: now, startedAt: now, sentAt: now, pace: fullPace, judged: true}
+	r := &run{id: id, task: t, worker: w, phase: phaseRunning, confirmedAt: now, startedAt: now, sentAt: now, pace: fullPace, paceUnknown: t.step.spec.Filler, judged: true}
 	wanted := t.wanted() && (len(t.runs) == 0 || t.step.spec.Copies)
 	e.addRun(r)
 	if t.step.spec.Service {
