--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -13,14 +13,14 @@
 // than a fixed time after the owner's last commit, which tells the next owner how long
 // it has to wait for workers that it can't reach.
 //
-// The workers are the source of truth for what they run; starts are not stored.
-// Each order carries the owner's fencing token. A new owner has a higher token
-// and starts nothing on a worker before that worker has answered under the new
-// token and reported its runs. Three things are made durable: a submission before
-// it is accepted, the end of a task before the worker may discard it, and the set
-// of workers that may hold runs (the fleet) before the first start on one of
-// them. A new owner that can't reach a worker of the fleet waits until the
-// worker's lease must have expired before it starts a task that may run there.
+// The workers are the source of truth for what they run; most starts are not stored. Each
+// order carries the owner's fencing token. A new owner has a higher token and starts nothing
+// on a worker before that worker has answered under the new token and reported its runs.
+// Four things are made durable: a submission before it is accepted, the end of a task before
+// the worker may discard it, the set of workers that may hold runs (the fleet) before the
+// first start on one of them, and the start of a task that may crash its worker before it is
+// ordered. A new owner that can't reach a worker of the fleet waits until the worker's lease
+// must have expired before it starts a task that may run there.
 //
 // A run whose start order got no response may still start later. It keeps its task
 // and its resources until the worker reports it, until the worker confirms a stop
