guavacrash: a judgement keeps the record of a later start

Cause, two ways. A crash that is judged late, such as that of a worker which had lapsed before, deleted the task's open start whatever worker that start was on. And a start that got no answer was repeated after the task had come on trial, without a record.

Change: a judgement deletes the open start only if it is the one that it judges; a start without a record of a task that needs one is not repeated. Ruled out: to stop such a run, which ends innocent runs on a worker's next boot (TestRunOnTheNewBootIsNotLost).

Failed before: TestJudgeKeepsLaterStart, TestUnrecordedStartsAreNotRepeated.

--- a/guavacrash/guavacrash.go
+++ b/guavacrash/guavacrash.go
@@ -201,7 +201,9 @@
 	var verdicts []Verdict[T]
 	for _, c := range cases {
 		r, against := c.Record, c.Start.Evidence
-		r.Open = nil
+		if r.Open != nil && r.Open.Worker == c.Start.Worker {
+			r.Open = nil
+		}
 		v := Verdict[T]{Task: c.Task, Worker: c.Start.Worker, Attempt: c.Attempt}
 		switch {
 		case against == None || again > 0 && (r.Crashes == 0 || against == Doubt):
--- a/guavacrash/guavacrash_test.go
+++ b/guavacrash/guavacrash_test.go
@@ -89,3 +89,16 @@
 		assert.Equal(t, want, *record)
 	}
 }
+
+// Guards against a start that the store forgets since an older one of the same task, on
+// another worker, is judged: the next owner then knows nothing of it.
+func TestJudgeKeepsLaterStart(t *testing.T) {
+	for name, certain := range map[string]bool{"ended": true, "lapsed": false} {
+		t.Run(name, func(t *testing.T) {
+			later := &Start{Worker: "b", Evidence: Suspect}
+			record := &Record{Doubts: 1, Open: later}
+			Judge([]Case[int]{{Record: record, Start: Start{Worker: "a", Evidence: Suspect}}}, certain)
+			assert.Same(t, later, record.Open)
+		})
+	}
+}
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -269,9 +269,9 @@
 	return guavaorder.Order{Kind: guavaorder.Stop, Worker: w.Worker, Run: id, Timeout: orderTimeout}
 }
 
-// resend repeats unanswered stop orders of a worker, and start orders if mayStart is set.
-// A start is stopped instead if the worker may get no new runs any more, or has answered
-// none of its orders for too long.
+// resend repeats unanswered stop orders of a worker, and if mayStart is set, start orders that
+// the next owner would know of. A start is stopped instead if the worker may get no new runs
+// any more, or has answered none of its orders for too long.
 func (e *Engine) resend(now time.Time, w *worker, mayStart bool) {
 	if w.unsettledRuns == 0 {
 		return
@@ -296,7 +296,9 @@
 			}
 			// A worker that has been silent since gets no start, whose lease would have
 			// to be waited for.
-			if mayStart && !r.startPending && now.Sub(r.sentAt) > resendAfter && w.aliveAt.After(r.sentAt) &&
+			o := r.task.record.Open
+			unrecorded := r.task.mustRecord() && (o == nil || o.Worker != w.ID)
+			if mayStart && !unrecorded && !r.startPending && now.Sub(r.sentAt) > resendAfter && w.aliveAt.After(r.sentAt) &&
 				e.fenced(w) && w.failedHolds == 0 && !e.missing.Recorded[w.ID] {
 				e.sendStart(now, r)
 			}
--- a/guavaqueue/recorded.go
+++ b/guavaqueue/recorded.go
@@ -8,8 +8,8 @@
 )
 
 // Assumed failure: an owner whose commits have no effect any more gives orders for some
-// seconds. If the next owner must know of a start, the start is stored before it is ordered,
-// so that such an owner orders none. Until then the run takes up its place on the worker.
+// seconds. A start that the next owner must know of is stored before it is ordered. Until
+// then the run takes up its place on the worker.
 
 // maxOpenStarts bounds the starts of a step that are stored and not judged yet.
 const maxOpenStarts = 100
@@ -18,8 +18,7 @@
 // may have crashed under it, or an earlier owner may have started it.
 func (t *task) mustRecord() bool { return t.record.OnTrial() || t.inherited }
 
-// recordableStarts returns how many more starts of the step may be stored now, so that the
-// row of the submission holds all that have not been judged yet.
+// recordableStarts returns for how many more starts of the step the row has room.
 func (st *step) recordableStarts() int {
 	if st.sub.cut.Starts > 0 {
 		return 1
@@ -42,8 +41,8 @@
 	e.recording = append(e.recording, r)
 }
 
-// orderRecorded orders the starts that are stored by now and gives up those that can't be
-// ordered any more. The members of a gang are ordered together.
+// orderRecorded orders the starts that are stored, the members of a gang together, and gives
+// up those that can't be ordered any more.
 func (e *Engine) orderRecorded(now time.Time, mayStart bool) {
 	rest := e.recording
 	kept := rest[:0]
@@ -80,11 +79,9 @@
 }
 
 // awaitsRecord reports whether the run has not been ordered and may still be.
-func (r *run) awaitsRecord() bool {
-	return r.recording && r.phase == phaseStarting && r.worker.runs[r.id] == r
-}
+func (r *run) awaitsRecord() bool { return r.recording && r.phase == phaseStarting && r.worker.runs[r.id] == r }
 
-// awaitsTrial reports whether a task on trial will be ordered to start on the worker.
+// awaitsTrial reports whether a start on trial on the worker has not been ordered yet.
 func (w *worker) awaitsTrial() bool {
 	for _, r := range w.runs {
 		if r.awaitsRecord() && r.task.record.OnTrial() {
@@ -106,8 +103,8 @@
 	}
 }
 
-// storeSuspicion stores that the run may crash or have crashed its worker, so that a
-// later owner knows of it, and drops that once it is known not to.
+// storeSuspicion stores that the run may crash or have crashed its worker, and drops that
+// once it is known not to.
 func (e *Engine) storeSuspicion(now time.Time, r *run) {
 	c, open := r.openCase(), r.task.record.Open
 	switch {
--- a/guavaqueue/recorded_test.go
+++ b/guavaqueue/recorded_test.go
@@ -99,6 +99,22 @@
 	assert.Positive(t, f.recordedStarts)
 }
 
+// Guards against a start that is repeated after workers have crashed under its task, and of
+// which the next owner knows nothing.
+func TestUnrecordedStartsAreNotRepeated(t *testing.T) {
+	f := newFleet(t, 1)
+	f.advance(time.Second)
+	f.lostStartShare, f.maxStartDelay = 1, time.Hour
+	f.submit(batchOf("a", 1, 1, time.Second))
+	f.advance(500 * time.Millisecond)
+	require.Equal(t, 1, f.engine.Stats(f.now).Runs)
+	f.engine.subs["a"].steps[0].tasks[0].record.Doubts = 1
+	f.lostStartShare, f.delayedStarts = 0, nil
+	f.advance(30 * time.Second)
+	assert.Equal(t, map[guavascale.SubmissionState]int{guavascale.SubmissionCompleted: 1}, f.countStates())
+	assert.Positive(t, f.recordedStarts)
+}
+
 // checkRecorded fails the test if an order starts a task of which an earlier owner may have
 // told nobody, or under which workers have crashed, and the store doesn't hold the start.
 func (f *fleet) checkRecorded(o guavaorder.Order) {
