--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -157,7 +157,7 @@
 		// The worker would repeat the ends at once, since their commit is still
 		// pending.
 		return
-	case now.Before(w.suspectUntil) && w.heard(now) && w.awaitsTrial():
+	case now.Before(w.suspectUntil) && w.heard(now) && e.awaitsTrial(w):
 		// The trial waits until no answer is due.
 		return
 	}
@@ -178,7 +178,7 @@
 	}
 	switch {
 	case !now.Before(w.suspectUntil):
-	case w.awaitsTrial():
+	case e.awaitsTrial(w):
 		wait = 0
 	default:
 		wait = min(wait, holdWaitTrial)
--- a/guavaqueue/recorded.go
+++ b/guavaqueue/recorded.go
@@ -1,6 +1,7 @@
 package guavaqueue
 
 import (
+	"slices"
 	"time"
 
 	"guavascale.example/guavacrash"
@@ -79,16 +80,13 @@
 }
 
 // awaitsRecord reports whether the run has not been ordered and may still be.
-func (r *run) awaitsRecord() bool { return r.recording && r.phase == phaseStarting && r.worker.runs[r.id] == r }
+func (r *run) awaitsRecord() bool {
+	return r.recording && r.phase == phaseStarting && r.worker.runs[r.id] == r
+}
 
 // awaitsTrial reports whether a start on trial on the worker has not been ordered yet.
-func (w *worker) awaitsTrial() bool {
-	for _, r := range w.runs {
-		if r.awaitsRecord() && r.task.record.OnTrial() {
-			return true
-		}
-	}
-	return false
+func (e *Engine) awaitsTrial(w *worker) bool {
+	return slices.ContainsFunc(e.recording, func(r *run) bool { return r.worker == w && r.awaitsRecord() && r.task.record.OnTrial() })
 }
 
 // mayOrder reports whether the start of a run is stored and may be ordered now.
