guavaqueue: stored starts wait while a worker has unanswered starts

Found when the diff was read: more than 16 stored starts on one worker, as after a takeover, were given up and stored anew instead of waiting for the answers, and each pass went over all tasks of a wide step to count its open starts, also of steps that have none. The number of unanswered starts delays them now; only the steps of an earlier owner's submissions are counted.

--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -210,7 +210,6 @@
 		w.pool.spare--
 	}
 	e.addRun(r)
-	w.suspect(now, t)
 	if t.mustRecord() {
 		e.recordStart(now, r)
 		return
@@ -222,6 +221,9 @@
 func (e *Engine) orderStart(now time.Time, r *run) {
 	t, w := r.task, r.worker
 	r.startedAt, r.heard = now, w.heard(now)
+	if t.record.OnTrial() {
+		w.suspectUntil = now.Add(suspectPenaltyTime)
+	}
 	e.emit(guavaevent.Event{
 		Kind: guavaevent.Start, Submission: t.step.sub.ID, Run: r.id, Worker: w.ID,
 		Reason: t.step.urgency.String(), Age: now.Sub(t.step.sub.accepted),
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -200,8 +200,13 @@
 
 // usable reports whether runs may be started on the worker now.
 func (e *Engine) usable(now time.Time, w *worker) bool {
+	return w.pendingStarts < maxPendingStarts && e.open(now, w)
+}
+
+// open reports whether runs may be started on the worker once enough starts are answered.
+func (e *Engine) open(now time.Time, w *worker) bool {
 	return w.listed && e.fenced(w) && w.durable && !e.missing.Recorded[w.ID] && w.failedHolds == 0 &&
-		!now.Before(w.backoffUntil) && w.pendingStarts < maxPendingStarts && !e.overtaken(w) && e.acceptsRuns(w)
+		!now.Before(w.backoffUntil) && !e.overtaken(w) && e.acceptsRuns(w)
 }
 
 // overtaken reports whether the worker has not answered a start while others have
--- a/guavaqueue/recorded.go
+++ b/guavaqueue/recorded.go
@@ -21,8 +21,12 @@
 
 // recordableStarts returns for how many more starts of the step the row has room.
 func (st *step) recordableStarts() int {
-	if st.sub.cut.Starts > 0 {
+	switch {
+	case st.sub.cut.Starts > 0:
 		return 1
+	case !st.tasks[0].inherited:
+		// Few of its tasks are on trial.
+		return maxOpenStarts
 	}
 	n := maxOpenStarts
 	for _, t := range st.tasks {
@@ -40,6 +44,9 @@
 	e.markDirty(now, r.task.step.sub, true)
 	r.recordedBy = r.task.step.sub.changed
 	e.recording = append(e.recording, r)
+	if r.task.record.OnTrial() {
+		r.worker.suspectUntil = now.Add(suspectPenaltyTime)
+	}
 }
 
 // orderRecorded orders the starts that are stored, the members of a gang together, and gives
@@ -56,8 +63,9 @@
 		rest = rest[n:]
 		ready, valid := mayStart, true
 		for _, r := range group {
-			ready = ready && e.mayOrder(now, r)
-			valid = valid && r.awaitsRecord() && e.usable(now, r.worker) && r.task.step.sub.cut.Starts == 0 && e.refusals.Group(r.task.step.sub) != guavarefusal.Aside
+			s, w := r.task.step.sub, r.worker
+			ready = ready && s.written >= r.recordedBy && w.pendingStarts < maxPendingStarts && e.trial(now, r.task, w, true)
+			valid = valid && r.awaitsRecord() && e.open(now, w) && s.cut.Starts == 0 && e.refusals.Group(s) != guavarefusal.Aside
 		}
 		if valid && !ready {
 			kept = append(kept, group...)
@@ -68,7 +76,6 @@
 			case !r.awaitsRecord():
 			case valid:
 				r.recording = false
-				r.worker.suspect(now, r.task)
 				e.orderStart(now, r)
 			default:
 				e.markLost(now, r, "not ordered: the worker can't be used any more")
@@ -89,18 +96,6 @@
 	return slices.ContainsFunc(e.recording, func(r *run) bool { return r.worker == w && r.awaitsRecord() && r.task.record.OnTrial() })
 }
 
-// mayOrder reports whether the start of a run is stored and may be ordered now.
-func (e *Engine) mayOrder(now time.Time, r *run) bool {
-	return r.task.step.sub.written >= r.recordedBy && r.worker.pendingStarts < maxPendingStarts && e.trial(now, r.task, r.worker, true)
-}
-
-// suspect keeps other tasks off the worker for some time if the task is on trial.
-func (w *worker) suspect(now time.Time, t *task) {
-	if t.record.OnTrial() {
-		w.suspectUntil = now.Add(suspectPenaltyTime)
-	}
-}
-
 // storeSuspicion stores that the run may crash or have crashed its worker, and drops that
 // once it is known not to.
 func (e *Engine) storeSuspicion(now time.Time, r *run) {
