guavaqueue: durations of runs count from their order

Cause, by the log of a failing run: a run took 400 ms and was recorded with 85 ms, since the answer of its start was looked at 330 ms late, and the time counted from that. By a median of 85 ms a healthy run of the same step was a straggler and was stopped. Runs that another owner had started counted from their adoption. Class: a time that begins with its observation.

Change: the duration counts from the order, and adopted runs are not recorded. A run without an answer that is ordered again counts from the latest order, as before.

Failed before: TestDurationsCountFromTheOrder, both cases.

--- a/guavaqueue/stragglers_test.go
+++ b/guavaqueue/stragglers_test.go
@@ -71,3 +71,34 @@
 	assert.Equal(t, guavascale.SubmissionCompleted, stateOrUnknown(f.engine.State("a")))
 	assert.Equal(t, 1, f.starts)
 }
+
+// Guards against durations that are too short, by which all other runs of the step are
+// stragglers: the answer of a start came late, or another owner had started the run.
+func TestDurationsCountFromTheOrder(t *testing.T) {
+	cases := map[string]struct {
+		disturb func(f *fleet)
+		want    time.Duration
+	}{
+		"answered late": {func(f *fleet) {
+			for _, r := range f.engine.workers["w0"].runs {
+				r.confirmStart(f.now.Add(300 * time.Millisecond))
+			}
+		}, 400 * time.Millisecond},
+		"adopted": {(*fleet).replaceOwner, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.advance(time.Second)
+			f.submit(batchOf("a", 2, 1, 400*time.Millisecond))
+			f.advance(100 * time.Millisecond)
+			tc.disturb(f)
+			f.advance(400 * time.Millisecond)
+			st := f.engine.subs["a"].steps[0]
+			require.Equal(t, 1, st.done)
+			got := st.durations.Median(1, 1)
+			assert.GreaterOrEqual(t, got, tc.want)
+			assert.LessOrEqual(t, got, tc.want+100*time.Millisecond)
+		})
+	}
+}
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -323,8 +323,8 @@
 	switch end.Outcome {
 	case guavascale.RunDone:
 		w.failures = 0
-		if r != nil {
-			t.step.durations.Add(age)
+		if r != nil && !r.judged {
+			t.step.durations.Add(now.Sub(r.sentAt))
 		}
 		e.applyDone(now, t)
 	case guavascale.RunFailed:
