--- a/guavaqueue/interfere_test.go
+++ b/guavaqueue/interfere_test.go
@@ -11,17 +11,27 @@
 	"guavascale.example"
 )
 
-// Guards against a service that stays above its target because the fillers beside
-// it are removed one by one. Twelve fillers of four kinds ran beside a service
-// whose latency fell slowly, and none of them was identified as the cause.
-func TestFillersAreThrottledInTime(t *testing.T) {
+// disturbedTarget is the target of the service of newDisturbedFleet.
+const disturbedTarget = 18 * time.Millisecond
+
+// newDisturbedFleet returns a fleet of one worker with room for fillers, and a service with
+// a target that has not been submitted.
+func newDisturbedFleet(t *testing.T) (*fleet, *fakeWorker, guavascale.Submission) {
 	f := newFleet(t, 1)
 	w := f.workers["w0"]
 	w.info.Capacity = guavascale.Resources{MilliCores: 24_000, MemoryMB: 64_000}
 	w.tailLatency = 5 * time.Millisecond
 	f.listWorkers()
 	s := serviceOf("service", 1)
-	s.Steps[0].Size.MilliCores, s.Steps[0].Kind, s.Steps[0].Target = 3000, "a", 18*time.Millisecond
+	s.Steps[0].Size.MilliCores, s.Steps[0].Kind, s.Steps[0].Target = 3000, "a", disturbedTarget
+	return f, w, s
+}
+
+// Guards against a service that stays above its target because the fillers beside
+// it are removed one by one. Twelve fillers of four kinds ran beside a service
+// whose latency fell slowly, and none of them was identified as the cause.
+func TestFillersAreThrottledInTime(t *testing.T) {
+	f, w, s := newDisturbedFleet(t)
 	f.submit(s)
 	f.advance(time.Second)
 	for i := range 4 {
@@ -48,7 +58,7 @@
 // service that has just started, and anew after each report at the target, to which whole
 // milliseconds round what is above it.
 func TestFillersAreThrottledWhateverTheReports(t *testing.T) {
-	const target = 18 * time.Millisecond
+	const target = disturbedTarget
 	tails := map[string][]time.Duration{
 		"far over the target":      {60 * time.Millisecond},
 		"rounded to the target":    {target},
@@ -59,13 +69,7 @@
 		for delay := 0 * time.Millisecond; delay <= 1200*time.Millisecond; delay += 150 * time.Millisecond {
 			for _, fresh := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, %s after a start, fresh service %t", name, delay, fresh), func(t *testing.T) {
-					f := newFleet(t, 1)
-					w := f.workers["w0"]
-					w.info.Capacity = guavascale.Resources{MilliCores: 24_000, MemoryMB: 64_000}
-					w.tailLatency = 5 * time.Millisecond
-					f.listWorkers()
-					s := serviceOf("service", 1)
-					s.Steps[0].Size.MilliCores, s.Steps[0].Kind, s.Steps[0].Target = 3000, "a", target
+					f, w, s := newDisturbedFleet(t)
 					if !fresh {
 						f.submit(s)
 					}
@@ -104,13 +108,7 @@
 		"new owner":     func(f *fleet) { f.replaceOwner() },
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(t, 1)
-			w := f.workers["w0"]
-			w.info.Capacity = guavascale.Resources{MilliCores: 24_000, MemoryMB: 64_000}
-			w.tailLatency = 5 * time.Millisecond
-			f.listWorkers()
-			s := serviceOf("service", 1)
-			s.Steps[0].Size.MilliCores, s.Steps[0].Kind, s.Steps[0].Target = 3000, "a", 18*time.Millisecond
+			f, w, s := newDisturbedFleet(t)
 			f.submit(s)
 			f.advance(time.Second)
 			f.submit(fillersOf("filler", "kind", 1, time.Minute))
