--- a/review/rig2/daemon.go
+++ b/review/rig2/daemon.go
@@ -24,6 +24,17 @@
 	cmd *exec.Cmd
 }
 
+// started holds the processes that were started, by their ids.
+var started sync.Map
+
+// killAll kills the processes that have not ended.
+func killAll() {
+	started.Range(func(_, p any) bool {
+		_ = p.(*os.Process).Kill()
+		return true
+	})
+}
+
 func freeAddress(ip string) string {
 	l, err := net.Listen("tcp4", ip+":0")
 	check(err)
@@ -62,6 +73,7 @@
 	d.cmd = exec.Command(d.program, "queue", "--config", d.settings)
 	d.cmd.Stdout, d.cmd.Stderr = out, out
 	check(d.cmd.Start())
+	started.Store(d.cmd.Process.Pid, d.cmd.Process)
 	d.sys.event("daemon %s starts, process %d", d.name, d.cmd.Process.Pid)
 }
 
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -445,8 +445,18 @@
 	program := flag.String("daemon", "target/guavascaled", "program of the daemons")
 	record := flag.String("record", "record.txt", "file for the record")
 	only := flag.String("only", "", "the only kind of fault")
+	name := flag.String("case", "", "case to play; with TROUBLE=0 in the environment, without its disruption")
 	flag.Parse()
 	rec, err := filepath.Abs(*record)
 	check(err)
-	os.Exit(fuzz(*seed, time.Duration(*secs)*time.Second, options{daemons: 3, workers: 9, guards: true, attempts: 3, record: rec, program: *program}, *only))
+	o := options{daemons: 3, workers: 9, guards: true, attempts: 3, record: rec, program: *program}
+	if *name == "" {
+		os.Exit(fuzz(*seed, time.Duration(*secs)*time.Second, o, *only))
+	}
+	play := cases[*name]
+	if play == nil {
+		fmt.Fprintln(os.Stderr, "unknown case", *name)
+		os.Exit(2)
+	}
+	os.Exit(play(o, os.Getenv("TROUBLE") != "0"))
 }
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -51,7 +51,11 @@
 		faults  map[int]storeFaults
 		// writer is the daemon that last wrote under a condition.
 		writer int
-		begun  time.Time
+		// down is set during an outage, also for the workers.
+		down bool
+		// beats holds when each worker last wrote its entry.
+		beats map[string]time.Time
+		begun time.Time
 	}
 )
 
@@ -62,10 +66,11 @@
 	pageBytes   = 1 << 20
 	retention   = 20 * time.Second
 	maxRowBytes = 65536
+	heartbeat   = 1500 * time.Millisecond
 )
 
 func newStore() *store {
-	return &store{rows: map[rowID]storeRow{}, wake: make(chan struct{}), faults: map[int]storeFaults{}, writer: -1, begun: time.Now()}
+	return &store{rows: map[rowID]storeRow{}, wake: make(chan struct{}), faults: map[int]storeFaults{}, beats: map[string]time.Time{}, writer: -1, begun: time.Now()}
 }
 
 func (s *store) listen(daemon int) string {
@@ -93,6 +98,50 @@
 	return s.writer
 }
 
+// setOutage begins or ends an outage of the store for all.
+func (s *store) setOutage(daemons []*daemon, down bool) {
+	for _, d := range daemons {
+		s.setFaults(d.index, storeFaults{silent: down})
+	}
+	s.mu.Lock()
+	s.down = down
+	s.mu.Unlock()
+}
+
+// beat writes the entry of a worker. It returns false during an outage.
+func (s *store) beat(id string, entry object) bool {
+	s.mu.Lock()
+	down := s.down
+	if !down {
+		s.beats[id] = time.Now()
+	}
+	s.mu.Unlock()
+	if !down {
+		s.put("servers", id, entry)
+	}
+	return !down
+}
+
+// expire removes the entries of workers that have been silent for three intervals, also
+// during an outage.
+func (s *store) expire(sys *system) {
+	for range time.Tick(20 * time.Millisecond) {
+		var old []string
+		s.mu.Lock()
+		for id, at := range s.beats {
+			if time.Since(at) > 3*heartbeat {
+				old = append(old, id)
+				delete(s.beats, id)
+			}
+		}
+		s.mu.Unlock()
+		for _, id := range old {
+			s.put("servers", id, nil)
+			sys.event("the entry of worker %s expires", id)
+		}
+	}
+}
+
 // put writes a row of the operator or a worker; nil deletes it.
 func (s *store) put(table, key string, v any) {
 	s.mu.Lock()
--- a/review/rig2/system.go
+++ b/review/rig2/system.go
@@ -90,6 +90,7 @@
 func check(err error) {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
+		killAll()
 		os.Exit(2)
 	}
 }
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -85,7 +86,8 @@
 	for range 200 {
 		a := w.address
 		if a == "" {
-			a = "127.0.0.1:0"
+			// No other process takes a port here while the worker is down.
+			a = fmt.Sprintf("127.78.%d.%d:0", os.Getpid()%250, 1+len(w.sys.workers)%250)
 		}
 		if l, err = net.Listen("tcp4", a); err == nil {
 			break
@@ -151,10 +153,12 @@
 		case <-t.C:
 		}
 		w.mu.Lock()
-		if time.Since(w.lastBeat) > 1500*time.Millisecond && !w.cut {
-			w.lastBeat = time.Now()
+		if time.Since(w.lastBeat) > heartbeat && !w.cut {
 			w.sequence++
-			w.sys.store.put("servers", w.id, w.entry())
+			if w.lastBeat = time.Now(); !w.sys.store.beat(w.id, w.entry()) {
+				// It tries again soon.
+				w.lastBeat = w.lastBeat.Add(100*time.Millisecond - heartbeat)
+			}
 		}
 		w.step(time.Now())
 		w.mu.Unlock()
