--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -104,6 +104,15 @@
 		}
 		s.mu.Unlock()
 		if status == 200 {
+			if rand.IntN(10) == 0 {
+				// The same request arrives again.
+				go func() {
+					pause(time.Second + time.Duration(rand.Int64N(int64(3*time.Second))))
+					d := daemons[rand.IntN(len(daemons))]
+					status, _ := s.call(d, "POST", sub.prefix, sub.id, body)
+					s.event("POST %s at %s again: %d", sub.id, d.name, status)
+				}()
+			}
 			return true
 		}
 		pause(300*time.Millisecond + time.Duration(rand.Int64N(int64(700*time.Millisecond))))
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -287,7 +287,7 @@
 			if running > 0 {
 				s.violate("UNASKED", "%d tasks of %s run on after its cancelling", running, sub.id)
 			}
-		case sub.steps[0].lasts:
+		case sub.steps[0].lasts && sub.cancelSent.IsZero():
 			if running < sub.steps[0].count {
 				s.violate("LOST", "%d of %d tasks of %s, which last, run at the end", running, sub.steps[0].count, sub.id)
 			}
@@ -325,7 +325,7 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); f() }()
 	}
-	kinds := []string{"kill", "term", "stop", "herd", "cutstore", "storeslow", "storelost", "storedown", "compact", "crash", "crash", "cut", "late", "failing", "evacuate", "config", "recrash"}
+	kinds := []string{"kill", "term", "stop", "herd", "cutstore", "storeslow", "storelost", "storedown", "compact", "crash", "crash", "cut", "late", "failing", "evacuate", "config", "recrash", "unhealthy", "hup", "foreign", "killtwo", "termkill"}
 	k := kinds[r.IntN(len(kinds))]
 	if only != "" {
 		k = only
@@ -425,6 +425,44 @@
 			w.failing = false
 			w.mu.Unlock()
 		})
+	case "unhealthy":
+		w.mu.Lock()
+		w.unhealthy = 0.5
+		w.mu.Unlock()
+		s.event("worker %s is unhealthy", w.id)
+		async(func() {
+			pause(length)
+			w.mu.Lock()
+			w.unhealthy = 0
+			w.mu.Unlock()
+		})
+	case "hup":
+		d.signal(syscall.SIGHUP)
+	case "foreign":
+		id := fmt.Sprintf("x%08x", rand.Uint32())
+		s.event("foreign entry %s", id)
+		s.store.put("servers", id, object{"service": "guichet", "address": w.address, "zone": []int{1}, "state": "resting"})
+		async(func() { pause(length); s.store.put("servers", id, nil) })
+	case "killtwo":
+		async(func() {
+			d.end(syscall.SIGKILL)
+			pause(300 * time.Millisecond)
+			o := daemons[(d.index+1)%len(daemons)]
+			o.end(syscall.SIGKILL)
+			pause(gap)
+			d.start()
+			o.start()
+		})
+	case "termkill":
+		async(func() {
+			go d.end(syscall.SIGTERM)
+			pause(gap / 4)
+			o := daemons[(d.index+1)%len(daemons)]
+			o.end(syscall.SIGKILL)
+			o.start()
+			pause(2 * time.Second)
+			d.start()
+		})
 	case "evacuate":
 		z := zones[r.IntN(len(zones))]
 		s.event("zone %s is evacuated", z)
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -54,6 +54,7 @@
 		up, cut, failing bool
 		draining         bool
 		late             float64
+		unhealthy        float64
 		clock0           time.Time
 		born             int64
 		fence            int64
@@ -73,7 +74,8 @@
 	}
 )
 
-func (w *worker) clock() int64 { return time.Since(w.clock0).Milliseconds() + 1000 }
+// clock is a steady clock that is 2% slow, as the pages allow.
+func (w *worker) clock() int64 { return time.Since(w.clock0).Milliseconds()*98/100 + 1000 }
 
 func key(task string, attempt int64) string { return fmt.Sprintf("%s#%d", task, attempt) }
 
@@ -81,6 +83,9 @@
 func (w *worker) start() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.up {
+		return
+	}
 	var l net.Listener
 	var err error
 	for range 200 {
@@ -234,6 +239,11 @@
 		rw.WriteHeader(421)
 		return
 	}
+	if r.URL.Path == wire.Start && rand.Float64() < w.unhealthy {
+		w.mu.Unlock()
+		answer(rw, 503, object{})
+		return
+	}
 	if rand.Float64() < w.late {
 		w.mu.Unlock()
 		go func() {
