review: a submission fails after 16 failed runs in a queue that allows 20

Failures.UsedUp (guavaattempt/guavaattempt.go) allows min(maxAttempts, 16), since no more failures are kept; the config is accepted and no page tells of a bound.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Tasks that fail more than 16 times, in a queue that allows 20 attempts. See claim.txt.
+cd "$(dirname "$0")/../.." || exit 2
+exec review/bin/rig2 -case attempts -daemon target/guavascaled -record review/7/record.txt
--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -8,7 +8,7 @@
 )
 
 // A case plays one order of events and returns 1 if the rule was broken, or else 0.
-var cases = map[string]func(options, bool) int{"lapse": caseLapse}
+var cases = map[string]func(options, bool) int{"lapse": caseLapse, "attempts": caseAttempts}
 
 const (
 	finishTime = 14 * time.Second
@@ -183,3 +183,40 @@
 	s.checkLost(subs, daemons)
 	return s.outcome()
 }
+
+// caseAttempts has a queue with maxAttempts 20, and tasks whose first 17 runs fail by their own
+// fault.
+func caseAttempts(o options, trouble bool) int {
+	o.workers, o.guards, o.attempts = 6, true, 20
+	s, daemons := newSystem(o)
+	defer s.close(daemons)
+	waitReady(daemons)
+	pause(time.Second)
+	r := rand.New(rand.NewPCG(7, 1))
+	var subs []*subSpec
+	for range 6 {
+		sub := plain(r)
+		sub.maxAttempts = o.attempts
+		if trouble {
+			sub.steps[0].ownFails = 17
+		}
+		s.submit(sub, daemons)
+		subs = append(subs, sub)
+	}
+	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); pause(200 * time.Millisecond) {
+		open := 0
+		for _, sub := range subs {
+			if sub.accepted && sub.finalAt.IsZero() {
+				open++
+				s.poll(sub, daemons[open%len(daemons)])
+			}
+		}
+		if open == 0 {
+			break
+		}
+	}
+	for _, sub := range subs {
+		s.event("at the end %s is %s, %s", sub.id, sub.state, sub.failures())
+	}
+	return s.outcome()
+}
