--- a/review/rig2/daemon.go
+++ b/review/rig2/daemon.go
@@ -74,6 +74,7 @@
 	d.cmd.Stdout, d.cmd.Stderr = out, out
 	check(d.cmd.Start())
 	started.Store(d.cmd.Process.Pid, d.cmd.Process)
+	d.sys.trouble(d.index)
 	d.sys.event("daemon %s starts, process %d", d.name, d.cmd.Process.Pid)
 }
 
@@ -88,6 +89,7 @@
 	defer d.mu.Unlock()
 	if d.cmd != nil {
 		_ = d.cmd.Process.Signal(sig)
+		d.sys.trouble(d.index)
 		d.sys.event("daemon %s gets %v", d.name, sig)
 	}
 }
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -23,6 +24,7 @@
 	attempts         int
 	record           string
 	program          string
+	deadly           float64
 }
 
 const routePrefix = "/desk/"
@@ -32,7 +34,7 @@
 	record, err := os.Create(o.record)
 	check(err)
 	s := &system{
-		subs: map[string]*subSpec{}, gangs: map[string]*gangState{}, counts: map[string]int{},
+		subs: map[string]*subSpec{}, gangs: map[string]*gangState{}, counts: map[string]int{}, troubleAt: map[int]time.Time{},
 		holdMax: 6 * time.Second, stopGrace: 900 * time.Millisecond, record: record, begun: time.Now(),
 	}
 	s.store = newStore()
@@ -147,6 +149,7 @@
 	waitReady(daemons)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
+	s.daemons = daemons
 	var subs []*subSpec
 	done := make(chan struct{})
 	alive := func() []*daemon { return daemons }
@@ -161,6 +164,12 @@
 			case <-time.After(time.Duration(150+cr.IntN(350)) * time.Millisecond):
 			}
 			sub := s.randomSub(cr, o.attempts)
+			if cr.Float64() < o.deadly {
+				sub = plain(cr)
+				sub.steps = sub.steps[:1]
+				sub.steps[0].count = 1
+				sub.deadly, sub.maxAttempts = true, o.attempts
+			}
 			x := cr.IntN(10)
 			wg.Add(1)
 			go func() {
@@ -328,7 +337,8 @@
 	kinds := []string{"kill", "term", "stop", "herd", "cutstore", "storeslow", "storelost", "storedown", "compact", "crash", "crash", "cut", "late", "failing", "evacuate", "config", "recrash", "unhealthy", "hup", "foreign", "killtwo", "termkill"}
 	k := kinds[r.IntN(len(kinds))]
 	if only != "" {
-		k = only
+		list := strings.Split(only, ",")
+		k = list[r.IntN(len(list))]
 	}
 	gap := time.Duration(r.IntN(1500)) * time.Millisecond
 	fresh := r.IntN(2) == 0
@@ -346,6 +356,7 @@
 	case "cutstore":
 		f := storeFaults{silent: r.IntN(2) == 0}
 		f.busy = !f.silent
+		s.trouble(d.index)
 		s.event("store cut off from %s: %+v", d.name, f)
 		s.store.setFaults(d.index, f)
 		async(func() { pause(length); s.store.setFaults(d.index, storeFaults{}); s.event("store back for %s", d.name) })
@@ -482,12 +493,13 @@
 	secs := flag.Int("secs", 30, "seconds with faults")
 	program := flag.String("daemon", "target/guavascaled", "program of the daemons")
 	record := flag.String("record", "record.txt", "file for the record")
+	deadly := flag.Float64("deadly", 0, "share of the submissions whose task crashes its workers")
 	only := flag.String("only", "", "the only kind of fault")
 	name := flag.String("case", "", "case to play; with TROUBLE=0 in the environment, without its disruption")
 	flag.Parse()
 	rec, err := filepath.Abs(*record)
 	check(err)
-	o := options{daemons: 3, workers: 9, guards: true, attempts: 3, record: rec, program: *program}
+	o := options{daemons: 3, workers: 9, guards: true, attempts: 3, record: rec, program: *program, deadly: *deadly}
 	if *name == "" {
 		os.Exit(fuzz(*seed, time.Duration(*secs)*time.Second, o, *only))
 	}
--- a/review/rig2/system.go
+++ b/review/rig2/system.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -32,10 +33,12 @@
 	subSpec struct {
 		id, spec, route, prefix string
 		maxAttempts             int
-		steps                   []stepSpec
-		repeat                  int
-		startAt                 time.Time
-		interval                time.Duration
+		// deadly tasks crash each worker that starts them.
+		deadly   bool
+		steps    []stepSpec
+		repeat   int
+		startAt  time.Time
+		interval time.Duration
 
 		sentAt, acceptedAt   time.Time
 		attempts, rejections int
@@ -61,6 +64,7 @@
 		failed              []time.Time
 		failedNoted         []time.Time
 		crashes             int
+		startsAfter         int
 		checkpoints         map[string]time.Duration
 	}
 
@@ -84,6 +88,11 @@
 		counts     map[string]int
 		clockOff   time.Duration
 		quiet      bool
+		ending     atomic.Bool
+		// daemons is set if owners end after a deadly task has crashed a worker.
+		daemons []*daemon
+		// troubleAt is when each daemon was last started, stopped or cut off.
+		troubleAt map[int]time.Time
 	}
 )
 
@@ -108,6 +117,13 @@
 	s.mu.Unlock()
 }
 
+// trouble records that a daemon isn't in touch for some time.
+func (s *system) trouble(daemon int) {
+	s.mu.Lock()
+	s.troubleAt[daemon] = time.Now()
+	s.mu.Unlock()
+}
+
 func (s *system) stopTime() time.Duration {
 	return time.Duration(rand.Int64N(int64(s.stopGrace)*8/10)) + s.stopGrace/10
 }
@@ -258,6 +274,11 @@
 	if !sub.cancelAcked.IsZero() && now.Sub(sub.cancelAcked) > 3*time.Second {
 		fail("UNASKED", "%s#%d starts on %s %v after its cancelling was acknowledged", r.task, r.attempt, w.id, now.Sub(sub.cancelAcked))
 	}
+	if sub.deadly && t.crashes >= 3 && now.Sub(s.troubleAt[s.store.lastWriter()]) > 3500*time.Millisecond {
+		if t.startsAfter++; t.startsAfter >= 3 {
+			fail("BUDGET", "%s#%d starts on %s, %d times after %d workers have crashed under it", r.task, r.attempt, w.id, t.startsAfter, t.crashes)
+		}
+	}
 	t.starts = append(t.starts, now)
 	t.active[key(r.task, r.attempt)] = w.id
 	if t.step.gang {
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -166,7 +167,20 @@
 			}
 		}
 		w.step(time.Now())
+		deadly := false
+		for _, r := range w.runs {
+			deadly = deadly || r.info.sub.deadly && time.Since(r.began) > 50*time.Millisecond
+		}
 		w.mu.Unlock()
+		if deadly {
+			go func() {
+				w.crash()
+				go w.sys.endOwner()
+				pause(time.Second + time.Duration(rand.Int64N(int64(2*time.Second))))
+				w.start()
+			}()
+			return
+		}
 	}
 }
 
@@ -392,3 +406,20 @@
 	}
 	return 200, resp
 }
+
+// endOwner ends the owner some time after a crash, in one of two cases.
+func (s *system) endOwner() {
+	i := s.store.lastWriter()
+	if len(s.daemons) == 0 || i < 0 || rand.IntN(2) == 0 || !s.ending.CompareAndSwap(false, true) {
+		return
+	}
+	defer s.ending.Store(false)
+	pause(time.Duration(rand.Int64N(int64(1500 * time.Millisecond))))
+	sig := syscall.SIGKILL
+	if rand.IntN(2) == 0 {
+		sig = syscall.SIGTERM
+	}
+	s.daemons[i].end(sig)
+	s.daemons[i].start()
+	pause(2 * time.Second)
+}
