--- a/review/rig2/daemon.go
+++ b/review/rig2/daemon.go
@@ -20,8 +20,10 @@
 	callers, ready, peer, storeAt string
 	program, settings, log        string
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	// ending is held while the process ends.
+	ending sync.Mutex
+	mu     sync.Mutex
+	cmd    *exec.Cmd
 }
 
 // started holds the processes that were started, by their ids.
@@ -97,6 +99,8 @@
 // end sends a signal and waits for the end of the process, which is killed after the grace
 // period of the platform.
 func (d *daemon) end(sig syscall.Signal) {
+	d.ending.Lock()
+	defer d.ending.Unlock()
 	d.signal(sig)
 	d.mu.Lock()
 	cmd := d.cmd
