--- a/review/rig2/system.go
+++ b/review/rig2/system.go
@@ -298,7 +298,7 @@
 }
 
 // ended records the end of a run.
-func (s *system) ended(w *worker, r *run, how string, listed bool) {
+func (s *system) ended(w *worker, r *run, how string) {
 	s.mu.Lock()
 	t := r.info
 	delete(t.active, key(r.task, r.attempt))
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -126,7 +126,7 @@
 	s := w.server
 	for k, r := range w.runs {
 		delete(w.runs, k)
-		w.sys.ended(w, r, "crashed", false)
+		w.sys.ended(w, r, "crashed")
 	}
 	w.mu.Unlock()
 	_ = s.Close()
@@ -229,7 +229,7 @@
 	delete(w.runs, k)
 	w.ends++
 	w.ended = append(w.ended, &endedRun{w.ends, r.task, r.attempt, how, r.saved, w.lapses})
-	w.sys.ended(w, r, how, true)
+	w.sys.ended(w, r, how)
 	close(w.wake)
 	w.wake = make(chan struct{})
 }
