--- a/review/rig2/daemon.go
+++ b/review/rig2/daemon.go
@@ -80,12 +80,6 @@
 	d.sys.event("daemon %s starts, process %d", d.name, d.cmd.Process.Pid)
 }
 
-func (d *daemon) running() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.cmd != nil
-}
-
 func (d *daemon) signal(sig syscall.Signal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/review/rig2/system.go
+++ b/review/rig2/system.go
@@ -31,8 +31,8 @@
 	}
 
 	subSpec struct {
-		id, spec, route, prefix string
-		maxAttempts             int
+		id, spec, prefix string
+		maxAttempts      int
 		// deadly tasks crash each worker that starts them.
 		deadly   bool
 		steps    []stepSpec
@@ -59,7 +59,6 @@
 		starts              []time.Time
 		doneAt              time.Time
 		doneNoted           bool
-		doneLapsed          bool
 		doneRuns            int
 		failed              []time.Time
 		failedNoted         []time.Time
@@ -86,8 +85,6 @@
 		begun      time.Time
 		violations []string
 		counts     map[string]int
-		clockOff   time.Duration
-		quiet      bool
 		ending     atomic.Bool
 		// daemons is set if owners end after a deadly task has crashed a worker.
 		daemons []*daemon
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -67,7 +67,6 @@
 		lapses           int
 		wake             chan struct{}
 		sequence         int
-		registered       bool
 		lastBeat         time.Time
 		stop             chan struct{}
 		boot             int
