guavascheduler: the state of the shard tells the size of the list of workers

Neither a log line nor a metric told a watcher that has lost the list from an owner that doesn't use listed workers.

"scheduler: state of the shard" now has ListSize, the workers in the platform's list, and Stats.Listed, those of them that the engine counts as listed; the gauges are list.size and shard.workers-listed.

No change of logic.

--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -426,6 +426,9 @@
 	}
 	for _, w := range e.workerList {
 		s.Runs += len(w.runs)
+		if w.listed {
+			s.Listed++
+		}
 		if w.known {
 			s.Known++
 		}
--- a/guavascheduler/meters.go
+++ b/guavascheduler/meters.go
@@ -128,6 +128,7 @@
 	m.gauge("shard.open", int64(s.Open))
 	m.gauge("shard.waiting", int64(s.Waiting))
 	m.gauge("shard.runs", int64(s.Runs))
+	m.gauge("shard.workers-listed", int64(s.Listed))
 	m.gauge("shard.workers-usable", int64(s.Usable))
 	m.gauge("shard.reservations", int64(s.Reservations.Reserved))
 	m.gauge("shard.reserved-millicores", s.Reservations.Room.MilliCores)
--- a/guavascheduler/ownerload.go
+++ b/guavascheduler/ownerload.go
@@ -27,6 +27,8 @@
 		orders [guavaorder.Pace + 1]atomic.Int64
 		// listed counts the workers that are new or changed in the platform's list.
 		listed atomic.Int64
+		// listSize is the number of workers in the platform's list.
+		listSize atomic.Int64
 		// relayed counts the orders that were passed to relays.
 		relayed atomic.Int64
 		// writtenAt and processor are the time of the last summary and the
@@ -70,7 +72,7 @@
 	for kind := range l.orders {
 		line.Int64(guavaorder.Kind(kind).String()+"s", l.orders[kind].Swap(0))
 	}
-	return line.Int64("Listed", l.listed.Swap(0)).Int64("Relayed", l.relayed.Swap(0)).
+	return line.Int64("Listed", l.listed.Swap(0)).Int64("ListSize", l.listSize.Load()).Int64("Relayed", l.relayed.Swap(0)).
 		Int64("Steps", l.steps.Swap(0)).Dur("StepTimeMs", time.Duration(l.stepTime.Swap(0))).
 		Dur("OrderDelayMs", l.orderDelay.take()).Dur("AnswerDelayMs", l.answerDelay.take()).Dur("StepMs", l.step.take())
 }
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -427,6 +427,8 @@
 	now := t.scheduler.Clock.Now()
 	t.listAsOf.Store(c.AsOf.UnixNano())
 	t.load.listed.Add(int64(len(c.Set)))
+	t.load.listSize.Store(int64(c.Size))
+	t.scheduler.meters.gauge("list.size", int64(c.Size))
 	for _, w := range c.Set {
 		t.engine.SetWorker(now, w)
 	}
--- a/guavastate/guavastate.go
+++ b/guavastate/guavastate.go
@@ -21,8 +21,9 @@
 		WaitingFillers int
 		Runs           int
 		Workers        int
-		// Known counts the workers that have answered this owner, Usable those
-		// that may get starts now.
+		// Listed counts the workers that are in the platform's list, Known those that
+		// have answered this owner, Usable those that may get starts now.
+		Listed int
 		Known  int
 		Usable int
 		// Capacity is the total capacity of the usable workers, Used the part in
--- a/worker.go
+++ b/worker.go
@@ -73,6 +73,8 @@
 		AsOf time.Time
 		// Full is set if Set contains all workers in the list.
 		Full bool
+		// Size is the number of workers in the list after the changes.
+		Size int
 		// Set contains the workers that are new or have changed.
 		Set []Worker
 		// Removed contains the workers that are no longer in the list.
