platform, guavascheduler: changes of the worker list are applied in their order

What callers saw: after one outage of the store in which the workers' entries expired, the owner used none, or a few, of its workers for the rest of its term.

Cause: WorkerChanges split the changes of a read into Set and Removed, and the engine, the relays' hub and the measurement of the takeover applied all of Set and then all of Removed. An entry that was deleted and written again between two reads is in both, so its worker counted as removed. The watcher knew it as listed and passes heartbeats of a listed worker on as no change, so nothing set it again.

One read after the outage has 48 workers that left and returned; from then on the watcher's list has 48 workers, and the engine counts 0 of them as listed.

Change: WorkerChanges has one list of changes, in the order in which they were made. No consumer can apply them in another order by kind.

Ruled out: a watcher that doesn't read again after the outage, and workers that don't answer (ListSize and Stats.Known stay 48); permissions of the owner, which commits, and stops tasks, throughout.

--- a/guavahandover/takeover.go
+++ b/guavahandover/takeover.go
@@ -52,26 +52,28 @@
 		return
 	}
 	if c.Full || t.listed == nil {
-		t.listed = make(map[guavascale.WorkerID]bool, len(c.Set))
+		t.listed = make(map[guavascale.WorkerID]bool, len(c.Changes))
 		t.heard = 0
 	}
-	for i := range c.Set {
-		t.list(c.Set[i].ID)
-	}
-	for _, id := range c.Removed {
-		if t.listed[id] && t.answered[id] {
-			t.heard--
-		}
-		delete(t.listed, id)
+	for i := range c.Changes {
+		t.list(c.Changes[i].Worker.ID, !c.Changes[i].Removed)
 	}
 	t.update(now)
 }
 
-func (t *Takeover) list(id guavascale.WorkerID) {
-	if !t.listed[id] && t.answered[id] {
-		t.heard++
+func (t *Takeover) list(id guavascale.WorkerID, listed bool) {
+	if t.answered[id] && t.listed[id] != listed {
+		if listed {
+			t.heard++
+		} else {
+			t.heard--
+		}
+	}
+	if listed {
+		t.listed[id] = true
+	} else {
+		delete(t.listed, id)
 	}
-	t.listed[id] = true
 }
 
 // Answered records that a worker has answered, and Started that it has confirmed a start.
--- a/guavahandover/takeover_test.go
+++ b/guavahandover/takeover_test.go
@@ -16,9 +16,12 @@
 	began := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
 	list := func(full bool, removed []guavascale.WorkerID, ids ...guavascale.WorkerID) *guavascale.WorkerChanges {
-		c := &guavascale.WorkerChanges{Full: full, Removed: removed}
+		c := &guavascale.WorkerChanges{Full: full}
+		for _, id := range removed {
+			c.Changes = append(c.Changes, guavascale.WorkerChange{Worker: guavascale.Worker{ID: id}, Removed: true})
+		}
 		for _, id := range ids {
-			c.Set = append(c.Set, guavascale.Worker{ID: id})
+			c.Changes = append(c.Changes, guavascale.WorkerChange{Worker: guavascale.Worker{ID: id}})
 		}
 		return c
 	}
@@ -48,6 +51,12 @@
 			k.Answered(at(6), "b")
 			k.List(at(9), list(false, []guavascale.WorkerID{"c"}))
 		}, end: 10_000, want: Times{Half: 6 * ms, Most: 9 * ms, All: 9 * ms}},
+		"the one that answered leaves and returns": {run: func(k *Takeover) {
+			k.List(at(1), list(true, nil, "a", "b"))
+			k.Answered(at(5), "a")
+			k.List(at(6), list(false, []guavascale.WorkerID{"a"}, "a"))
+			k.Answered(at(9), "b")
+		}, end: 10_000, want: Times{Half: 5 * ms, Most: 9 * ms, All: 9 * ms}},
 		"the one that answered leaves": {run: func(k *Takeover) {
 			k.List(at(1), list(true, nil, "a", "b", "c", "d"))
 			k.Answered(at(5), "a")
--- a/guavarelay/hub.go
+++ b/guavarelay/hub.go
@@ -84,19 +84,20 @@
 // ChangeWorkers applies changes of the list of workers.
 func (h *Hub) ChangeWorkers(c *guavascale.WorkerChanges) {
 	if c.Full || h.workers == nil {
-		h.workers = make(map[guavascale.WorkerID]guavascale.Zone, len(c.Set))
+		h.workers = make(map[guavascale.WorkerID]guavascale.Zone, len(c.Changes))
 		h.stale = true
 	}
-	for i := range c.Set {
-		if h.workers[c.Set[i].ID] != c.Set[i].Zone {
-			h.workers[c.Set[i].ID] = c.Set[i].Zone
+	for i := range c.Changes {
+		w := &c.Changes[i].Worker
+		switch {
+		case c.Changes[i].Removed:
+			delete(h.workers, w.ID)
+			h.stale = true
+		case h.workers[w.ID] != w.Zone:
+			h.workers[w.ID] = w.Zone
 			h.stale = true
 		}
 	}
-	for _, id := range c.Removed {
-		delete(h.workers, id)
-		h.stale = true
-	}
 }
 
 // WorkersByZone returns the number of workers in each zone.
--- a/guavarelay/relay_test.go
+++ b/guavarelay/relay_test.go
@@ -88,7 +88,7 @@
 	}
 	var owner net.Conn
 	owner, h.relay = connect(t)
-	h.ChangeWorkers(&guavascale.WorkerChanges{Full: true, Set: []guavascale.Worker{{ID: "w", Zone: "z"}}})
+	h.ChangeWorkers(&guavascale.WorkerChanges{Full: true, Changes: []guavascale.WorkerChange{{Worker: guavascale.Worker{ID: "w", Zone: "z"}}}})
 	h.Join(owner, &Stream{hello: hello{Instance: "r", Zone: "z", Strength: 1}, decoder: decoding.NewDecoder(owner)})
 	h.Expire(h.clock.Now())
 	return h
@@ -364,21 +364,21 @@
 	h := newHubTest(t)
 	list := guavascale.WorkerChanges{Full: true}
 	for _, id := range []guavascale.WorkerID{"a", "b", "c", "d", "e", "f"} {
-		list.Set = append(list.Set, guavascale.Worker{ID: id, Zone: "z"})
+		list.Changes = append(list.Changes, guavascale.WorkerChange{Worker: guavascale.Worker{ID: id, Zone: "z"}})
 	}
 	h.ChangeWorkers(&list)
 	h.clock.advance(planInterval)
 	h.Expire(h.clock.Now())
 	enc := encoding.NewEncoder(h.relay)
-	for i, w := range list.Set[:4] {
+	for i, c := range list.Changes[:4] {
 		now := h.clock.Now()
-		require.True(t, h.Send(now, guavaorder.Order{Worker: w, Sent: now, Timeout: time.Second}, now.Add(time.Second)))
+		require.True(t, h.Send(now, guavaorder.Order{Worker: c.Worker, Sent: now, Timeout: time.Second}, now.Add(time.Second)))
 		require.NoError(t, enc.Encode(outcomeFrame{Outcomes: []wireOutcome{{Number: uint64(i + 1), Status: statusUnknown}}}))
 		(<-h.events)()
 	}
-	for _, w := range list.Set[:4] {
+	for _, c := range list.Changes[:4] {
 		assert.Equal(t, 1, h.Relays(), "the workers may be down")
-		h.Answered(w.ID)
+		h.Answered(c.Worker.ID)
 	}
 	assert.Zero(t, h.Relays())
 	assert.False(t, h.MayJoin("r"))
--- a/guavascheduler/change_test.go
+++ b/guavascheduler/change_test.go
@@ -89,7 +89,9 @@
 	former := guavaowner.Head{Epoch: 3, CommittedMs: clock.Now().Add(-1500 * time.Millisecond).UnixMilli()}
 	tm.startedAt = clock.Now().Add(-time.Second)
 	tm.beginTakeover(&claim{former: former, reason: guavahandover.Silent}, make([]guavascale.Row, 7))
-	tm.changeWorkers(&guavascale.WorkerChanges{Full: true, Set: []guavascale.Worker{{ID: "w1"}, {ID: "w2"}}})
+	tm.changeWorkers(&guavascale.WorkerChanges{Full: true, Changes: []guavascale.WorkerChange{
+		{Worker: guavascale.Worker{ID: "w1"}}, {Worker: guavascale.Worker{ID: "w2"}},
+	}})
 	clock.advance(20 * time.Millisecond)
 	tm.answer(guavaorder.Order{Kind: guavaorder.Hold, Worker: guavascale.Worker{ID: "w1"}}, guavaorder.Outcome{}, clock.Now())
 	tm.answer(guavaorder.Order{Kind: guavaorder.Hold, Worker: guavascale.Worker{ID: "w2"}}, guavaorder.Outcome{Err: errors.New("test")}, clock.Now())
--- a/guavascheduler/ownerload.go
+++ b/guavascheduler/ownerload.go
@@ -25,7 +25,7 @@
 		steps, stepTime atomic.Int64
 		// orders counts the orders by kind.
 		orders [guavaorder.Pace + 1]atomic.Int64
-		// listed counts the workers that are new or changed in the platform's list.
+		// listed counts the changes of the platform's list of workers.
 		listed atomic.Int64
 		// listSize is the number of workers in the platform's list.
 		listSize atomic.Int64
--- a/guavascheduler/relay_test.go
+++ b/guavascheduler/relay_test.go
@@ -65,7 +65,8 @@
 	tm.hub = tm.newHub()
 	changes := guavascale.WorkerChanges{Full: true}
 	for i := range 1000 {
-		changes.Set = append(changes.Set, guavascale.Worker{ID: guavascale.WorkerID(strconv.Itoa(i)), Zone: "a"})
+		w := guavascale.Worker{ID: guavascale.WorkerID(strconv.Itoa(i)), Zone: "a"}
+		changes.Changes = append(changes.Changes, guavascale.WorkerChange{Worker: w})
 	}
 	tm.hub.ChangeWorkers(&changes)
 	clock.advance(100 * time.Millisecond)
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -426,19 +426,20 @@
 func (t *term) changeWorkers(c *guavascale.WorkerChanges) {
 	now := t.scheduler.Clock.Now()
 	t.listAsOf.Store(c.AsOf.UnixNano())
-	t.load.listed.Add(int64(len(c.Set)))
+	t.load.listed.Add(int64(len(c.Changes)))
 	t.load.listSize.Store(int64(c.Size))
 	t.scheduler.meters.gauge("list.size", int64(c.Size))
-	for _, w := range c.Set {
-		t.engine.SetWorker(now, w)
-	}
-	for _, id := range c.Removed {
-		t.engine.RemoveWorker(id)
+	for i := range c.Changes {
+		if w := &c.Changes[i].Worker; c.Changes[i].Removed {
+			t.engine.RemoveWorker(w.ID)
+		} else {
+			t.engine.SetWorker(now, *w)
+		}
 	}
 	if c.Full {
-		listed := make(map[guavascale.WorkerID]bool, len(c.Set))
-		for _, w := range c.Set {
-			listed[w.ID] = true
+		listed := make(map[guavascale.WorkerID]bool, len(c.Changes))
+		for i := range c.Changes {
+			listed[c.Changes[i].Worker.ID] = true
 		}
 		t.engine.RemoveUnlisted(listed)
 	}
--- a/worker.go
+++ b/worker.go
@@ -71,14 +71,22 @@
 	WorkerChanges struct {
 		// AsOf is a time at which no change was missing.
 		AsOf time.Time
-		// Full is set if Set contains all workers in the list.
+		// Full is set if Changes sets all workers in the list; others are not in it.
 		Full bool
 		// Size is the number of workers in the list after the changes.
 		Size int
-		// Set contains the workers that are new or have changed.
-		Set []Worker
-		// Removed contains the workers that are no longer in the list.
-		Removed []WorkerID
+		// Changes are in the order in which they were made, in which they have to be
+		// applied: a worker that has left and returned has one for each.
+		Changes []WorkerChange
+	}
+
+	// WorkerChange is the change of one worker in the list.
+	WorkerChange struct {
+		// Worker is the worker as it is in the list now. Only its ID is set if it was
+		// removed.
+		Worker Worker
+		// Removed is set if the worker is no longer in the list.
+		Removed bool
 	}
 
 	// Work lists the tasks, jobs and workers that shard owners report.
