guavaqueue: the end of a failed submission has its reason

"SubmissionEnded" didn't tell which limit had decided, nor which number of attempts was in force, so that a wrong limit, ends that count twice and a config that isn't in force looked the same.

Its Reason now names the number of failed attempts and of allowed ones, the crashes, or the store's refusal. No change of logic.

--- a/guavaqueue/aside.go
+++ b/guavaqueue/aside.go
@@ -45,7 +45,7 @@
 		return
 	}
 	if e.refusals.SetAside(now, lastCommit, s) && !s.state.Ended() {
-		e.end(now, s, guavascale.SubmissionFailed)
+		e.end(now, s, guavascale.SubmissionFailed, "the store refuses its rows")
 	}
 }
 
--- a/guavaqueue/crashes.go
+++ b/guavaqueue/crashes.go
@@ -60,7 +60,7 @@
 			Reason: reason, Value: float64(n), Age: now.Sub(s.accepted),
 		})
 		if v.GivenUp && !s.state.Ended() {
-			e.end(now, s, guavascale.SubmissionFailed)
+			e.end(now, s, guavascale.SubmissionFailed, "workers crash under a task")
 		}
 	}
 }
--- a/guavaqueue/place.go
+++ b/guavaqueue/place.go
@@ -115,8 +115,8 @@
 			t.mustRecord() && st.sub.recordableStarts(now) <= 0 {
 			continue
 		}
-		if e.attemptsUsedUp(t) {
-			e.end(now, st.sub, guavascale.SubmissionFailed)
+		if reason := e.attemptsUsedUp(t); reason != "" {
+			e.end(now, st.sub, guavascale.SubmissionFailed, reason)
 			return
 		}
 		var w *worker
@@ -157,8 +157,8 @@
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.inherited && !e.inheritedRunsKnown() {
 			return
 		}
-		if e.attemptsUsedUp(t) {
-			e.end(now, st.sub, guavascale.SubmissionFailed)
+		if reason := e.attemptsUsedUp(t); reason != "" {
+			e.end(now, st.sub, guavascale.SubmissionFailed, reason)
 			return
 		}
 		attempt = max(attempt, t.attempt)
--- a/guavaqueue/stragglers.go
+++ b/guavaqueue/stragglers.go
@@ -77,7 +77,7 @@
 func (e *Engine) replaceStraggler(now time.Time, f guavastraggler.Found[*run]) bool {
 	r, t, w := f.Run, f.Run.task, f.Run.worker
 	q := e.queue(t.step.sub)
-	if q == nil || len(t.runs) > 1 || !t.wanted() || e.attemptsUsedUp(t) || !t.step.sub.account.MayReplace(t.step.spec) {
+	if q == nil || len(t.runs) > 1 || !t.wanted() || e.attemptsUsedUp(t) != "" || !t.step.sub.account.MayReplace(t.step.spec) {
 		return false
 	}
 	if !slices.Contains(t.avoidWorkers, w.ID) {
--- a/guavaqueue/submit.go
+++ b/guavaqueue/submit.go
@@ -70,7 +70,7 @@
 		return false
 	}
 	if !s.state.Ended() {
-		e.end(now, s, guavascale.SubmissionCancelled)
+		e.end(now, s, guavascale.SubmissionCancelled, "")
 	}
 	s.await(reply)
 	return true
@@ -204,9 +204,9 @@
 }
 
 // end sets the final state of a submission and stops its runs.
-func (e *Engine) end(now time.Time, s *submission, state guavascale.SubmissionState) {
+func (e *Engine) end(now time.Time, s *submission, state guavascale.SubmissionState, reason string) {
 	s.state, s.ended = state, now
-	e.emit(guavaevent.Event{Kind: guavaevent.Ended, Submission: s.ID, Outcome: string(state), Age: now.Sub(s.accepted)})
+	e.emit(guavaevent.Event{Kind: guavaevent.Ended, Submission: s.ID, Outcome: string(state), Reason: reason, Age: now.Sub(s.accepted)})
 	delete(e.scheduled, s)
 	for _, st := range s.steps {
 		for _, t := range st.tasks {
@@ -226,7 +226,7 @@
 	}
 	s := st.sub
 	if s.occurrences == max(s.Repeat, 1) && !slices.ContainsFunc(s.steps, func(o *step) bool { return o.done < len(o.tasks) }) {
-		e.end(now, s, guavascale.SubmissionCompleted)
+		e.end(now, s, guavascale.SubmissionCompleted, "")
 		return
 	}
 	e.queueReadySteps(s)
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -1,6 +1,7 @@
 package guavaqueue
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -387,20 +388,23 @@
 	s := t.step.sub
 	e.markDirty(now, s, false)
 	t.notBefore = now.Add(t.failed.Delay())
-	if e.attemptsUsedUp(t) {
-		e.end(now, s, guavascale.SubmissionFailed)
+	if reason := e.attemptsUsedUp(t); reason != "" {
+		e.end(now, s, guavascale.SubmissionFailed, reason)
 	}
 }
 
-// attemptsUsedUp reports whether the task, or a member of its gang, has failed as often
-// as the newest known policy allows, which may be another one than at the failures.
-func (e *Engine) attemptsUsedUp(t *task) bool {
-	q := e.queue(t.step.sub)
-	if t.step.spec.Service || q == nil {
-		return false
-	}
-	usedUp := func(m *task) bool { return m.failed.UsedUp(q.MaxAttempts) }
-	return usedUp(t) || t.step.spec.Gang && slices.ContainsFunc(t.step.tasks, usedUp)
+// attemptsUsedUp tells how the task, or a member of its gang, has failed as often as the newest
+// known policy allows, which may be another one than at the failures, or returns "".
+func (e *Engine) attemptsUsedUp(t *task) string {
+	q, members := e.queue(t.step.sub), []*task{t}
+	if t.step.spec.Gang {
+		members = t.step.tasks
+	}
+	usedUp := func(m *task) bool { return q != nil && !t.step.spec.Service && m.failed.UsedUp(q.MaxAttempts) }
+	if i := slices.IndexFunc(members, usedUp); i >= 0 {
+		return fmt.Sprintf("%d attempts of a task have failed, %d are allowed", len(members[i].failed), q.MaxAttempts)
+	}
+	return ""
 }
 
 // markLost removes a run that can't be running any more and queues its task
