platform, guavascheduler: a read of the whole worker list is passed on as changes

WorkerChanges still had two forms: changes, and with Full the whole list, in which the engine, the relays' hub and the measurement of the takeover each worked out what was missing.

The watcher compares a table that it has read again with what it knows, and passes on the differences, so that consumers apply changes in their order and do nothing else. guavaqueue loses RemoveUnlisted.

No fault was seen here. TestChangesKeepTheirOrder has the cases of a store that has discarded its history: unchanged, left, restarted and invalid. TestWatchFollows collects the changes, as it can see them in one read or two.

--- a/guavahandover/takeover.go
+++ b/guavahandover/takeover.go
@@ -51,9 +51,8 @@
 	if !t.measures() {
 		return
 	}
-	if c.Full || t.listed == nil {
+	if t.listed == nil {
 		t.listed = make(map[guavascale.WorkerID]bool, len(c.Changes))
-		t.heard = 0
 	}
 	for i := range c.Changes {
 		t.list(c.Changes[i].Worker.ID, !c.Changes[i].Removed)
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -70,14 +70,6 @@
 	}
 }
 
-// RemoveUnlisted marks all workers that are not in listed, the platform's worker
-// list. Their runs count until their leases must have expired.
-func (e *Engine) RemoveUnlisted(listed map[guavascale.WorkerID]bool) {
-	for id, w := range e.workers {
-		w.listed = w.listed && listed[id]
-	}
-}
-
 // handleRestart marks the runs of a restarted worker as lost, except those whose
 // start order may have reached the new boot or may still do so. The clocks of two boots
 // may differ too little to tell them apart, so that an answer to a start says nothing
--- a/guavarelay/hub.go
+++ b/guavarelay/hub.go
@@ -83,7 +83,7 @@
 
 // ChangeWorkers applies changes of the list of workers.
 func (h *Hub) ChangeWorkers(c *guavascale.WorkerChanges) {
-	if c.Full || h.workers == nil {
+	if h.workers == nil {
 		h.workers = make(map[guavascale.WorkerID]guavascale.Zone, len(c.Changes))
 		h.stale = true
 	}
--- a/guavascheduler/guavascheduler.go
+++ b/guavascheduler/guavascheduler.go
@@ -36,8 +36,8 @@
 
 type (
 	// WorkerSource provides the list of workers. Until ctx is done, WatchWorkers
-	// calls set with the whole list and then, after each read, with what has changed,
-	// if anything. Times are of the scheduler's clock.
+	// calls set after each read with what has changed, if anything, first with the whole
+	// list. Times are of the scheduler's clock.
 	WorkerSource interface {
 		WatchWorkers(ctx context.Context, set func(guavascale.WorkerChanges))
 	}
--- a/guavascheduler/term.go
+++ b/guavascheduler/term.go
@@ -436,13 +436,6 @@
 			t.engine.SetWorker(now, *w)
 		}
 	}
-	if c.Full {
-		listed := make(map[guavascale.WorkerID]bool, len(c.Changes))
-		for i := range c.Changes {
-			listed[c.Changes[i].Worker.ID] = true
-		}
-		t.engine.RemoveUnlisted(listed)
-	}
 	t.hub.ChangeWorkers(c)
 	t.takeover.List(now, c)
 }
--- a/worker.go
+++ b/worker.go
@@ -67,12 +67,11 @@
 		ReportAgeMs int64
 	}
 
-	// WorkerChanges describes how the list of workers has changed.
+	// WorkerChanges describes how the list of workers has changed. The first ones are of an
+	// empty list.
 	WorkerChanges struct {
 		// AsOf is a time at which no change was missing.
 		AsOf time.Time
-		// Full is set if Changes sets all workers in the list; others are not in it.
-		Full bool
 		// Size is the number of workers in the list after the changes.
 		Size int
 		// Changes are in the order in which they were made, in which they have to be
