guavaqueue: a new owner numbers attempts above all known failures

Each owner numbers the attempts of a task from a range of its own, 10,000 after the one of the owner before. A task that has made more attempts than that under one owner, such as a service that fails for hours, got numbers again that had failed before. Their failures were taken for repeated ones: the task had more attempts than its queue allows, and workers that had seen the former ones refused some starts as old.

A restored task now begins at least at its highest known failure.

TestAttemptsBeyondTheRangeOfAnOwner failed before: 6 failures counted, not 9, and attempt 10004, not 10007.

--- a/guavaqueue/attempts_test.go
+++ b/guavaqueue/attempts_test.go
@@ -85,3 +85,37 @@
 		})
 	}
 }
+
+// Guards against a new owner that numbers the attempts of a task below those of the owner
+// before, which has made more than attemptsPerOwner, so that their failures are taken for
+// repeated ones.
+func TestAttemptsBeyondTheRangeOfAnOwner(t *testing.T) {
+	f := newFleet(t, 2)
+	former, next := f.workers["w0"], f.workers["w1"]
+	next.removed = true
+	f.listWorkers()
+	f.submit(serviceOf("a", 1))
+	for f.starts == 0 {
+		f.tick()
+	}
+	f.engine.subs["a"].steps[0].tasks[0].attempt = attemptsPerOwner - 2
+	for range 6 {
+		f.failNext()
+	}
+	// The next attempt is delayed, and the worker has forgotten the ends.
+	f.advance(150 * time.Millisecond)
+	require.Zero(t, f.countRunning("a"))
+	require.Empty(t, former.ended)
+	// A worker that has seen the former attempts would refuse lower ones.
+	former.removed, next.removed = true, false
+	f.replaceOwner()
+	for range 3 {
+		f.failNext()
+	}
+	f.advance(4 * time.Second)
+	assert.Equal(t, 1, f.countRunning("a"))
+	assert.Equal(t, 9, f.engine.subs["a"].steps[0].tasks[0].failed.Count)
+	for id := range next.runs {
+		assert.Equal(t, int64(attemptsPerOwner+7), id.Attempt)
+	}
+}
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -388,7 +388,8 @@
 		s.started, s.state = true, guavascale.SubmissionRunning
 		sr.Tasks(func(i int, row guavarow.Task) {
 			t := st.tasks[i]
-			t.failed, t.record.Crashes, t.checkpoint, t.notBefore = row.Failed, row.Record.Crashes, row.Checkpoint, now
+			t.failed, t.attempt = row.Failed, max(t.attempt, row.Failed.Last())
+			t.record.Crashes, t.checkpoint, t.notBefore = row.Record.Crashes, row.Checkpoint, now
 			if row.Done {
 				e.markDone(now, t)
 			}
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -378,11 +378,10 @@
 		t.failed.KeepLatest()
 	}
 	t.avoidWorkers = t.avoidWorkers[max(0, len(t.avoidWorkers)-guavaattempt.MaxNumbers):]
-	s := t.step.sub
-	e.markDirty(now, s, false)
+	e.markDirty(now, t.step.sub, false)
 	t.notBefore = now.Add(t.failed.Delay())
 	if reason := e.attemptsUsedUp(t); reason != "" {
-		e.end(now, s, guavascale.SubmissionFailed, reason)
+		e.end(now, t.step.sub, guavascale.SubmissionFailed, reason)
 	}
 }
 
