guavastore: a test for hosts that leave and return between two reads

Its client drops the removed ones first and adds the changed ones after that, so a host that is in both is listed, and its stand-in never sends both. No fault; the test and the comment hold it.

--- a/guavastore/hosts.go
+++ b/guavastore/hosts.go
@@ -25,7 +25,8 @@
 	}
 
 	// hostsResponse holds all workers if Since is 0. Otherwise it holds the
-	// workers that changed after Since and the IDs of the workers removed since.
+	// workers that changed after Since and the IDs of the workers removed since. A worker
+	// that has left and returned may be in both lists; it is listed then.
 	hostsResponse struct {
 		History string
 		Since   uint64
--- a/guavastore/hosts_test.go
+++ b/guavastore/hosts_test.go
@@ -43,6 +43,9 @@
 	check(6)
 	require.NoError(t, p.Fleet.Kill("w9"))
 	check(5)
+	require.NoError(t, p.Fleet.Kill("w3"))
+	require.NoError(t, p.Fleet.Restart("w3"))
+	check(5)
 
 	other := &guavafake.Platform{}
 	next, err := other.Listen("127.0.0.1:0")
