guavasoak: the workers' entries expire while the store refuses calls

At the end of a fault "store" that refuses calls, the rows of all workers are removed and those of the workers that run are written again.

--- a/cmd/guavasoak/soak.go
+++ b/cmd/guavasoak/soak.go
@@ -91,8 +91,17 @@
 	}},
 	{"store", func(s *soak, r *rand.Rand) func() {
 		choices := []guavastandin.StoreFaults{{Refuse: true}, {Latency: 300 * time.Millisecond}, {LoseAnswers: 0.4}}
-		s.store.SetFaults(choices[r.IntN(len(choices))])
-		return func() { s.store.SetFaults(guavastandin.StoreFaults{}) }
+		chosen := choices[r.IntN(len(choices))]
+		s.store.SetFaults(chosen)
+		return func() {
+			if chosen.Refuse {
+				// The rows of the workers have expired meanwhile.
+				for _, w := range s.workers {
+					s.addError(w.Renew())
+				}
+			}
+			s.store.SetFaults(guavastandin.StoreFaults{})
+		}
 	}},
 	{"store history", func(s *soak, _ *rand.Rand) func() {
 		s.store.Compact()
