--- a/guavaattempt/guavaattempt.go
+++ b/guavaattempt/guavaattempt.go
@@ -46,8 +46,8 @@
 )
 
 const (
-	// MaxNumbers bounds the attempts that are stored by single numbers, and the length of
-	// other lists with an entry for each failed attempt.
+	// MaxNumbers bounds the attempts that are stored by single numbers, and lists of the
+	// workers on which they have failed.
 	MaxNumbers = 16
 	// MaxRanges bounds the ranges of a task.
 	MaxRanges = 16
@@ -142,7 +142,7 @@
 
 // Delay returns the delay of the next attempt.
 func (f *Failures) Delay() time.Duration {
-	return min(time.Duration(min(f.Count, MaxNumbers))*retryDelay, maxRetryDelay)
+	return time.Duration(min(f.Count, int(maxRetryDelay/retryDelay))) * retryDelay
 }
 
 // UsedUp tells why no attempt is left where a policy allows a number of them; 0 means any
