--- a/guavaattempt/guavaattempt.go
+++ b/guavaattempt/guavaattempt.go
@@ -49,7 +49,8 @@
 	// MaxNumbers bounds the attempts that are stored by single numbers, and lists of the
 	// workers on which they have failed.
 	MaxNumbers = 16
-	// MaxRanges bounds the ranges of a task.
+	// MaxRanges bounds the ranges of a task, of which a submission has thousands that share
+	// a row.
 	MaxRanges = 16
 	// retryDelay, times the number of failed attempts, delays the next attempt of a task. It
 	// grows up to maxRetryDelay, since a service must run again however often it fails.
--- a/submission.go
+++ b/submission.go
@@ -117,7 +117,7 @@
 		// Priority orders the queues; 0 is the highest priority.
 		Priority int
 		// MaxAttempts is the number of failed attempts after which a task and
-		// its submission fail.
+		// its submission fail; 0 means that there is no limit.
 		MaxAttempts int
 		// Slack and Target define the completion time objective of a
 		// submission: Slack times the length of its critical path, plus
