guavahandover: a change of the list adjusts the count in one place

Takeover.list decided twice, with nested conditions, whether a worker is added or removed. Each change is now one of two cases. No change of behavior; the tests of the package pass.

--- a/guavahandover/takeover.go
+++ b/guavahandover/takeover.go
@@ -55,24 +55,20 @@
 		t.listed = make(map[guavascale.WorkerID]bool, len(c.Changes))
 	}
 	for i := range c.Changes {
-		t.list(c.Changes[i].Worker.ID, !c.Changes[i].Removed)
-	}
-	t.update(now)
-}
-
-func (t *Takeover) list(id guavascale.WorkerID, listed bool) {
-	if t.answered[id] && t.listed[id] != listed {
-		if listed {
-			t.heard++
-		} else {
-			t.heard--
+		switch id := c.Changes[i].Worker.ID; {
+		case c.Changes[i].Removed && t.listed[id]:
+			delete(t.listed, id)
+			if t.answered[id] {
+				t.heard--
+			}
+		case !c.Changes[i].Removed && !t.listed[id]:
+			t.listed[id] = true
+			if t.answered[id] {
+				t.heard++
+			}
 		}
 	}
-	if listed {
-		t.listed[id] = true
-	} else {
-		delete(t.listed, id)
-	}
+	t.update(now)
 }
 
 // Answered records that a worker has answered, and Started that it has confirmed a start.
