--- a/guavarow/progress.go
+++ b/guavarow/progress.go
@@ -100,8 +100,8 @@
 		Before int `json:",omitempty"`
 		// Done holds a bit per task.
 		Done []byte `json:",omitempty"`
-		// Failed holds the failed attempts, or if they don't fit, Failures their number in
-		// half a byte per task and Failed the numbers above 15.
+		// Failed holds the failed attempts. If they don't fit, Failures holds their count
+		// in half a byte per task, at most 15, and Failed the counts above 15.
 		Failed   denseFailed `json:",omitzero"`
 		Failures []byte      `json:",omitempty"`
 		// Crashes holds half a byte per task.
