guavaqueue, guavaquota: a new owner counts ended submissions' runs in their workers' room

What callers saw: nothing on the deployments in force, whose workers refuse a start without room.

Cause: a new owner restores ended submissions without tasks. It knew a reported run of one only as a run to stop, and counted it for the limit of its account, but not for the room of its worker, until a report lacked it.

Fix: Strays holds such runs with and without an account, and they are part of what the worker uses until a report lacks them, the worker restarts or its lease has expired.

Evidence: TestNewOwnerCountsRunsOfCancelledWork failed before, "{{b 0 0 0} 1}, sent at 2.05s, brings w0 to {MilliCores:6000 ...}, over its room {MilliCores:4000 ...}", and passes.

--- a/guavaqueue/capacity_test.go
+++ b/guavaqueue/capacity_test.go
@@ -239,3 +239,24 @@
 		assert.Equal(t, 2, f.starts, "guarded %t", guarded)
 	}
 }
+
+// Guards against a new owner that starts work beside runs of a cancelled submission that are
+// still being stopped (LIMIT).
+func TestNewOwnerCountsRunsOfCancelledWork(t *testing.T) {
+	large := func(id string) guavascale.Submission {
+		s := batchOf(id, 1, 2, time.Minute)
+		s.Steps[0].Size.MilliCores = 3000
+		return s
+	}
+	f := newUnguardedFleet(t, 2)
+	f.submit(large("a"))
+	f.advance(time.Second)
+	require.Equal(t, 2, f.countRunning("a"))
+	f.engine.Cancel(f.now, "a", func(guavascale.SubmissionState) {})
+	f.commit()
+	f.replaceOwner()
+	f.submit(large("b"))
+	f.advance(2 * time.Second)
+	assert.Equal(t, 0, f.countRunning("a"))
+	assert.Equal(t, 2, f.countRunning("b"))
+}
--- a/guavaqueue/guavaqueue.go
+++ b/guavaqueue/guavaqueue.go
@@ -337,7 +337,7 @@
 		durable bool
 		runs    map[guavascale.Run]*run
 		used    guavascale.Resources
-		// strays holds the latest reported runs of ended submissions with accounts.
+		// strays holds the latest reported runs of ended submissions, which are part of used.
 		strays guavaquota.Strays
 		// fillerMilliCores is the sum of the declared processors of fillers.
 		fillerMilliCores int64
--- a/guavaqueue/orders.go
+++ b/guavaqueue/orders.go
@@ -96,7 +96,7 @@
 		for _, r := range w.runs {
 			e.markLost(now, r, "the lease expired")
 		}
-		w.strays.Drop()
+		w.used = w.used.Sub(w.strays.Drop())
 		e.emitWorker(now, w, "Lapsed", "no answer before the lease expired")
 		if w.known = false; silent {
 			w.moreEnds = false
@@ -356,7 +356,7 @@
 		for _, r := range w.runs {
 			e.markLost(now, r, "another worker has its address")
 		}
-		w.strays.Drop()
+		w.used = w.used.Sub(w.strays.Drop())
 		e.missing.Reported(w.ID, false)
 		w.listed, w.moreEnds = false, false
 	default:
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -76,7 +76,7 @@
 // about the boot; a report does.
 func (e *Engine) handleRestart(now time.Time, w *worker, born int64, shown string) {
 	e.recordCrash(now, w, true)
-	w.strays.Drop()
+	w.used = w.used.Sub(w.strays.Drop())
 	for _, r := range w.runs {
 		if r.startPending && r.phase != phaseRunning {
 			r.strayUntil = r.sentAt.Add(e.Limits.Longest())
@@ -167,7 +167,7 @@
 	}
 	listed := e.listedRuns
 	clear(listed)
-	w.strays.Drop()
+	w.used = w.used.Sub(w.strays.Drop())
 	for _, rs := range rep.Running {
 		listed[rs.Run] = true
 		e.applyRunState(now, w, rs)
@@ -207,7 +207,7 @@
 	}
 	if r == nil {
 		if s := e.subs[rs.Run.Task.Submission]; s != nil {
-			w.strays.Add(s.account, s.Steps, rs.Run.Task.Step)
+			w.used = w.used.Add(w.strays.Add(s.account, s.Steps, rs.Run.Task.Step))
 		}
 		e.orders = append(e.orders, e.stopOrder(w, rs.Run))
 		return
