guavaqueue: runs and ends of an occurrence count before it is due by the new owner's clock

What callers would have seen: a task of a timed or recurring submission that has run to its end runs once more, if the owner changes soon after the due time and the clock of the new owner is behind.

Cause: tasks of an occurrence exist once an owner finds it due. A new owner whose clock is behind had none for a reported end, noted it without effect and had it acknowledged, and stopped a reported run as that of an ended submission. When the occurrence was due by its clock, it started the task again.

Fix: a reported run or end of an occurrence that is still to come creates the occurrences up to it, as a stored row of progress does. Only submissions with occurrences to come do so, hence none that has ended or whose rows can't be read.

Ruled out: waiting with such an end until the occurrence is due; the worker lists a bounded number of ends, so it would get no work meanwhile.

addOccurrences had one caller and moves into it.

--- a/guavaqueue/aside_test.go
+++ b/guavaqueue/aside_test.go
@@ -173,7 +173,9 @@
 	f.submit(s)
 	f.advance(time.Second)
 	sub := f.engine.subs["a"]
-	f.engine.addOccurrences(f.now, sub)
+	for sub.occurrences < s.Repeat {
+		f.engine.addOccurrence(sub)
+	}
 	for i, st := range sub.steps {
 		if i%3 > 0 {
 			f.engine.markDone(f.now, st.tasks[0])
--- a/guavaqueue/rows.go
+++ b/guavaqueue/rows.go
@@ -372,7 +372,10 @@
 		return
 	}
 	s.binding = e.bindings.Bind(&s.Submission)
-	e.addOccurrences(now, s)
+	for s.occurrences < max(s.Repeat, 1) && (s.Repeat == 0 || !now.Before(s.Due(s.occurrences))) {
+		e.addOccurrence(s)
+	}
+	e.schedule(s)
 	for _, suspect := range pr.Suspects {
 		for suspect.Occurrence >= s.occurrences {
 			e.addOccurrence(s)
@@ -397,12 +400,3 @@
 	}
 	e.queueReadySteps(s)
 }
-
-// addOccurrences creates the occurrences that are due without making their steps
-// ready.
-func (e *Engine) addOccurrences(now time.Time, s *submission) {
-	for s.occurrences < max(s.Repeat, 1) && (s.Repeat == 0 || !now.Before(s.Due(s.occurrences))) {
-		e.addOccurrence(s)
-	}
-	e.schedule(s)
-}
--- a/guavaqueue/workers.go
+++ b/guavaqueue/workers.go
@@ -265,6 +265,11 @@
 	if s == nil || ref.Occurrence < 0 || ref.Step < 0 || ref.Step >= len(s.Steps) {
 		return nil
 	}
+	for _, scheduled := e.scheduled[s]; scheduled && ref.Occurrence >= s.occurrences && ref.Occurrence < s.Repeat; {
+		// It was due by the clock of an earlier owner, which was ahead.
+		e.addOccurrence(s)
+		e.queueReadySteps(s)
+	}
 	i := ref.Occurrence*len(s.Steps) + ref.Step
 	if i >= len(s.steps) || ref.Index < 0 || ref.Index >= len(s.steps[i].tasks) {
 		return nil
