internal/bubbletest: tests in bubbles run on one processor with the race detector

The timers of a synctest bubble share one context of the race detector. A timer of a channel that nobody waits for is not in the bubble's heap; it runs on the goroutine that reads the channel, while the bubble's root runs other timers on another processor with the same context. Entries and exits of functions on its shadow stack are then counted wrongly.

Evidence: the program counter 0x437870 is in StackDepotBase::Put of the race runtime, with the call from time.goFunc in r13 and a length of 0xffffffff in r12.

Change: bubbletest.Run is synctest.Test on one processor, in builds with the race detector only. All tests in bubbles use it; their checks are unchanged. Builds without it use all processors.

Ruled out: a fault of the daemon (it has no unsafe code and no cgo of its own); asynctimerchan=1, which synctest refuses; channel timers replaced in the daemon, which has a dozen and would change for a fault of its tests' tool.

--- a/guavaclaim/claims_test.go
+++ b/guavaclaim/claims_test.go
@@ -8,7 +8,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -17,6 +16,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavalease"
+	"guavascale.example/internal/bubbletest"
 	_ "guavascale.example/internal/fixedseed"
 	"guavascale.example/internal/storetest"
 )
@@ -125,7 +125,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				table, objects := newStore()
 				d := startOwner(table, objects, 1, Options{}, "k")
 				token, err := d.Claim(ctx, "k")
@@ -146,7 +146,7 @@
 			})
 		})
 		t.Run(name+"SameOwner", func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				table, objects := newStore()
 				d := startOwner(table, objects, 1, Options{}, "k")
 				token, err := d.Claim(ctx, "k")
@@ -176,7 +176,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				table, objects := newStore()
 				d := startOwner(table, objects, 1, Options{}, "k")
 				if tt.committed {
@@ -250,7 +250,7 @@
 	total := new(atomic.Int64)
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
-		synctest.Test(t, func(*testing.T) { runClaims(rt, rand.New(rand.NewPCG(seed, 1)), total) })
+		bubbletest.Run(t, func(*testing.T) { runClaims(rt, rand.New(rand.NewPCG(seed, 1)), total) })
 	})
 	assert.Positive(t, total.Load())
 }
--- a/guavaconfig/watcher_test.go
+++ b/guavaconfig/watcher_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
+	"guavascale.example/internal/bubbletest"
 )
 
 func takeZoneOut(id string, based uint64, zone string) Change {
@@ -21,7 +22,7 @@
 // Guards against task starts under an outdated document by a daemon that was
 // partitioned or paused. P4, no start in a zone taken out, depends on it.
 func TestStartAuthorityExpires(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		table := &memTable{}
 		w := &Watcher{Table: table}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -78,7 +79,7 @@
 // Guards against counting the authority from the end of a slow read, since its
 // result may be as old as the beginning of the read.
 func TestAuthorityCountsFromStartOfRead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		w := &Watcher{Table: &slowTable{&memTable{}, 1500 * time.Millisecond}}
 		_ = w.Refresh(t.Context())
 		time.Sleep(time.Second)
@@ -95,7 +96,7 @@
 // Guards against reverting to an older document (P10), and against granting
 // authority for anything but a read of the row that confirms the document.
 func TestNeverAdoptsLowerVersion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		table := &memTable{}
 		w := &Watcher{Table: table}
 		old, err := w.Submit(t.Context(), takeZoneOut("a", 1, "Brest"))
@@ -163,7 +164,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				table := &memTable{}
 				w := &Watcher{Table: table}
 				require.NoError(t, w.Refresh(t.Context()))
--- a/guavadaemon/faults_test.go
+++ b/guavadaemon/faults_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -14,6 +13,7 @@
 	"guavascale.example/guavaconfig"
 	"guavascale.example/guavafake"
 	"guavascale.example/guavashard"
+	"guavascale.example/internal/bubbletest"
 )
 
 const (
@@ -41,7 +41,7 @@
 	metrics.NewMeter().Stop()
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runFaults(t, seed) })
+			bubbletest.Run(t, func(t *testing.T) { runFaults(t, seed) })
 		})
 	}
 }
--- a/guavafake/fleet_test.go
+++ b/guavafake/fleet_test.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
+	"guavascale.example/internal/bubbletest"
 )
 
 type (
@@ -318,7 +318,7 @@
 // Guards against a delayed message that takes effect after its time limit, and
 // against a fleet that does not use the clock of a synctest bubble.
 func TestDelayedMessageExpires(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		var f Fleet
 		w := guavascale.Worker{ID: "w1"}
 		f.Add(w)
--- a/guavalease/driver_test.go
+++ b/guavalease/driver_test.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"guavascale.example"
+	"guavascale.example/internal/bubbletest"
 	"guavascale.example/internal/storetest"
 )
 
@@ -61,7 +61,7 @@
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				table := storetest.New()
 				a, b := startDriver(t, table, "a"), startDriver(t, table, "b")
 				time.Sleep(90 * time.Second)
@@ -89,7 +89,7 @@
 func TestRecoversFromLostResponses(t *testing.T) {
 	for name, lost := range map[string]int{"Creation": 1, "FirstTakeovers": 4, "AllTakeovers": 7} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				table := storetest.New()
 				table.SetLoseAnswers(lost)
 				d := startDriver(t, table, "a")
@@ -116,7 +116,7 @@
 // over: the lease check must fail, and so must a commit whose check passed
 // before the pause.
 func TestPausedOwnerIsFenced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		table := storetest.New()
 		link := &disconnectableTable{Table: table}
 		a := startDriver(t, link, "a")
@@ -153,7 +153,7 @@
 
 // Guards against one write per partition in the steady state.
 func TestSteadyStateWrites(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		table := storetest.New()
 		startDriver(t, table, "a")
 		time.Sleep(30 * time.Second)
--- a/guavalease/leaving_test.go
+++ b/guavalease/leaving_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"guavascale.example/internal/bubbletest"
 	"guavascale.example/internal/storetest"
 )
 
@@ -40,7 +40,7 @@
 // Guards against partitions that are left without an owner when all daemons
 // but one shut down at the same time and one of them does not finish.
 func TestOneDaemonRemains(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		table := storetest.New()
 		a, b, c := startDriver(t, table, "a"), startDriver(t, table, "b"), startDriver(t, table, "c")
 		time.Sleep(90 * time.Second)
--- a/guavalog/log_test.go
+++ b/guavalog/log_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -16,6 +15,7 @@
 
 	"guavascale.example"
 	"guavascale.example/guavalease"
+	"guavascale.example/internal/bubbletest"
 	_ "guavascale.example/internal/fixedseed"
 	"guavascale.example/internal/storetest"
 )
@@ -91,7 +91,7 @@
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				table, objects := storetest.New(), storetest.NewObjects()
 				l, _ := open(t, table, objects, takeOwnership(table, 1))
 				fault(table)
@@ -137,7 +137,7 @@
 	}
 	for name, end := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				table, objects := storetest.New(), storetest.NewObjects()
 				o := takeOwnership(table, 1)
 				l, _ := open(t, table, objects, o)
@@ -160,7 +160,7 @@
 func TestRejectedAppendIsNeverApplied(t *testing.T) {
 	for name, others := range map[string]int{"Alone": 0, "WithOthers": 2} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				table, objects := storetest.New(), storetest.NewObjects()
 				l, _ := open(t, table, objects, takeOwnership(table, 1))
 				l.opt.Linger = 10 * time.Millisecond
@@ -193,7 +193,7 @@
 func TestNoCommittedRecordIsLost(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
-		synctest.Test(t, func(*testing.T) { runRandomHistory(rt, rand.New(rand.NewPCG(seed, 1))) })
+		bubbletest.Run(t, func(*testing.T) { runRandomHistory(rt, rand.New(rand.NewPCG(seed, 1))) })
 	})
 }
 
--- a/guavascheduler/silent_test.go
+++ b/guavascheduler/silent_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,6 +18,7 @@
 	"guavascale.example/guavafake"
 	"guavascale.example/guavaowner"
 	"guavascale.example/guavaqueue"
+	"guavascale.example/internal/bubbletest"
 )
 
 type (
@@ -116,7 +116,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				start := time.Now()
 				table := &outageTable{from: start, to: start.Add(tc.outage), applies: tc.applies, delay: tc.delay}
 				tm := newOutageTerm(table)
@@ -155,7 +155,7 @@
 // no extra attempt may be made: after a refusal for too many calls the commit was only
 // repeated when the lost attempt had timed out.
 func TestAnsweredReadsDoNotDelayTheNextAttempt(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		tm := newOutageTerm(&outageTable{})
 		table := &lossyTable{Table: &guavafake.Table{}}
 		tm.scheduler.Table = table
@@ -209,7 +209,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				start := time.Now()
 				table := &outageTable{from: start.Add(time.Second), to: start.Add(time.Second + tc.outage), applies: tc.applies, delay: tc.delay}
 				tm := newOutageTerm(table)
@@ -297,7 +297,7 @@
 	cases := map[string]struct{ owns bool }{"owner": {true}, "no owner is known": {false}}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				now := time.Now()
 				tm := newOutageTerm(&outageTable{from: now, to: now.Add(time.Hour)})
 				if !tc.owns {
@@ -328,7 +328,7 @@
 	const calls = 60
 	outcomes := make(map[string]int)
 	for seed := range uint64(40) {
-		synctest.Test(t, func(t *testing.T) {
+		bubbletest.Run(t, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 7))
 			random := func(most time.Duration) time.Duration { return time.Duration(r.Int64N(int64(most))) }
 			from := time.Now().Add(random(2 * time.Second))
--- /dev/null
+++ b/internal/bubbletest/norace.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package bubbletest
+
+const raceEnabled = false
