--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,8 @@
 	@mkdir -p bin
 	@cd tools && go build -o ../bin/ honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive
 	@for m in $(MODULES); do (cd $$m && go vet ./... && $(CURDIR)/bin/staticcheck ./... && $(CURDIR)/bin/revive -config $(CURDIR)/revive.toml -set_exit_status ./...) || exit 1; done
+	@if git grep -n 'synctest\.Test(' -- '*.go' ':!internal/bubbletest'; then \
+		echo "use bubbletest.Run, which avoids a fault of the race detector"; exit 1; fi
 
 # Wire names of the users' platform, allowed only in its adapter, platform/.
 WIRE := rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|run-(start|stop)|machine-(move|upkeep)|expectedRev|fencingToken|lastSeen|lastCheckpoint|savesProgress|tightlyCoupled|antiAffinity|gangTimeoutMs|pathPrefix|slackFactor|dependsOn
